--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+export PYTHONPATH := src:standins:bench:tests
+
+.PHONY: test lint types demo bench slopes soak format
+
+test: lint types
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check src standins bench tests
+	$(BIN)/ruff check src standins bench tests
+	$(BIN)/flake8 src standins bench tests
+
+types: $(STAMP)
+	$(BIN)/mypy -p tidegrade -p tidegrade_standins -p tidegrade_bench
+
+demo: $(STAMP)
+	$(BIN)/python -m tidegrade_bench demo
+
+format: $(STAMP)
+	$(BIN)/ruff format src standins bench tests
+	$(BIN)/ruff check --fix src standins bench tests
+
+$(STAMP): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $(STAMP)
--- /dev/null
+++ b/src/tidegrade/core/__init__.py
@@ -0,0 +1,141 @@
+"""The decision core: pure state machines, driven by events and the time.
+
+A driver makes a :class:`GroupMachine` for each group and a
+:class:`Supervisor` beside it, passes every event with the time to
+``handle`` and carries out the commands it returns. Nothing in this package
+opens a socket, reads a clock or draws a random number of its own.
+"""
+
+from tidegrade.core._adoption import Adoption
+from tidegrade.core._adoption import ConfigRef
+from tidegrade.core._detector import is_down
+from tidegrade.core._detector import Opinion
+from tidegrade.core._events import CloseConn
+from tidegrade.core._events import Command
+from tidegrade.core._events import ConfigChanged
+from tidegrade.core._events import ConnClosed
+from tidegrade.core._events import ConnOpened
+from tidegrade.core._events import ControlAsked
+from tidegrade.core._events import ControlEnded
+from tidegrade.core._events import DrainStarted
+from tidegrade.core._events import Event
+from tidegrade.core._events import FetchRow
+from tidegrade.core._events import GiveUp
+from tidegrade.core._events import JobEnded
+from tidegrade.core._events import LeavingChanged
+from tidegrade.core._events import OpenConn
+from tidegrade.core._events import Registered
+from tidegrade.core._events import Reply
+from tidegrade.core._events import RequestArrived
+from tidegrade.core._events import RequestDropped
+from tidegrade.core._events import RowSeen
+from tidegrade.core._events import RunJob
+from tidegrade.core._events import Tick
+from tidegrade.core._failover import Step
+from tidegrade.core._failover import Supervisor
+from tidegrade.core._group import GroupMachine
+from tidegrade.core._group import is_newer
+from tidegrade.core._jobs import CommitJob
+from tidegrade.core._jobs import ExecuteJob
+from tidegrade.core._jobs import Failure
+from tidegrade.core._jobs import FenceJob
+from tidegrade.core._jobs import FollowJob
+from tidegrade.core._jobs import Job
+from tidegrade.core._jobs import JobDone
+from tidegrade.core._jobs import JobFailed
+from tidegrade.core._jobs import JobOutcome
+from tidegrade.core._jobs import NO_LOSS
+from tidegrade.core._jobs import PromoteJob
+from tidegrade.core._jobs import ReadJob
+from tidegrade.core._jobs import RollbackJob
+from tidegrade.core._jobs import SetupJob
+from tidegrade.core._jobs import StartJob
+from tidegrade.core._jobs import StatusJob
+from tidegrade.core._routing import PrimaryAfterWrite
+from tidegrade.core._routing import PrimaryOnly
+from tidegrade.core._routing import ReadPolicy
+from tidegrade.core._routing import SessionReplica
+from tidegrade.core._row import Attempt
+from tidegrade.core._row import Fork
+from tidegrade.core._row import GroupRow
+from tidegrade.core._state import MachineSettings
+from tidegrade.core._token import SessionToken
+from tidegrade.core._types import Answer
+from tidegrade.core._types import Code
+from tidegrade.core._types import EndpointReport
+from tidegrade.core._types import invariant
+from tidegrade.core._types import InvariantBroken
+from tidegrade.core._types import Kind
+from tidegrade.core._types import Outcome
+from tidegrade.core._types import Position
+from tidegrade.core._types import Request
+from tidegrade.core._types import ResultSet
+from tidegrade.core._types import Statement
+
+__all__ = [
+    'NO_LOSS',
+    'Adoption',
+    'Answer',
+    'Attempt',
+    'CloseConn',
+    'Code',
+    'Command',
+    'CommitJob',
+    'ConfigChanged',
+    'ConfigRef',
+    'ConnClosed',
+    'ConnOpened',
+    'ControlAsked',
+    'ControlEnded',
+    'DrainStarted',
+    'EndpointReport',
+    'Event',
+    'ExecuteJob',
+    'Failure',
+    'FenceJob',
+    'FetchRow',
+    'FollowJob',
+    'Fork',
+    'GiveUp',
+    'GroupMachine',
+    'GroupRow',
+    'InvariantBroken',
+    'Job',
+    'JobDone',
+    'JobEnded',
+    'JobFailed',
+    'JobOutcome',
+    'Kind',
+    'LeavingChanged',
+    'MachineSettings',
+    'OpenConn',
+    'Opinion',
+    'Outcome',
+    'Position',
+    'PrimaryAfterWrite',
+    'PrimaryOnly',
+    'PromoteJob',
+    'ReadJob',
+    'ReadPolicy',
+    'Registered',
+    'Reply',
+    'Request',
+    'RequestArrived',
+    'RequestDropped',
+    'ResultSet',
+    'RollbackJob',
+    'RowSeen',
+    'RunJob',
+    'SessionReplica',
+    'SessionToken',
+    'SetupJob',
+    'StartJob',
+    'Statement',
+    'StatusJob',
+    'Step',
+    'Supervisor',
+    'Tick',
+    'invariant',
+    'is_down',
+    'is_newer',
+]
--- /dev/null
+++ b/src/tidegrade/core/_dispatch.py
@@ -0,0 +1,138 @@
+"""The waiting requests of a group and their order of service."""
+
+import typing
+
+from tidegrade.core import _pending
+from tidegrade.core import _queue
+from tidegrade.core import _reads
+from tidegrade.core import _registry
+from tidegrade.core import _state
+from tidegrade.core import _types
+
+#: Gives what became of an attempt to place one request.
+Place = typing.Callable[[_pending.Pending, float], _reads.Placement]
+
+
+class Dispatcher:
+    """Hands waiting requests to free connections, fairly by tenant.
+
+    Requests for the primary and reads that a replica may serve wait in
+    separate lines, so that neither holds up the other.
+    """
+
+    def __init__(
+        self,
+        state: _state.GroupState,
+        registry: _registry.Registry,
+        place_read: Place,
+        place_on_primary: Place,
+    ) -> None:
+        self._state = state
+        self._registry = registry
+        self._place_read = place_read
+        self._place_on_primary = place_on_primary
+        self._reads: _queue.FairQueue[_pending.Pending] = _queue.FairQueue()
+        self._primary: _queue.FairQueue[_pending.Pending] = _queue.FairQueue()
+        self._parked: list[_pending.Pending] = []
+
+    @property
+    def waiting(self) -> int:
+        """Give how many requests wait for a connection."""
+        return len(self._reads) + len(self._primary)
+
+    def add(self, pending: _pending.Pending, now: float) -> None:
+        """Queue a new request, or refuse it if it can't be served in time.
+
+        The request may be answered before this returns.
+        """
+        ahead = self.waiting
+        wait = self._registry.service.wait_for(ahead, self._registry.width())
+        late = ahead > 0 and now + wait >= pending.req.deadline
+        if late or ahead >= self._state.cfg.queue_limit:
+            self._registry.refuse(pending, _types.Code.OVERLOADED, ahead=ahead)
+            return
+        self._queue_of(pending).push(pending.req.tenant, pending)
+
+    def park(self, pending: _pending.Pending) -> None:
+        """Let a request wait until its ``not_before``."""
+        self._parked.append(pending)
+
+    def discard(self, pending: _pending.Pending) -> None:
+        """Forget a request that was answered otherwise."""
+        tenant = pending.req.tenant
+        if self._reads.remove(tenant, pending):
+            return
+        if self._primary.remove(tenant, pending):
+            return
+        if pending in self._parked:
+            self._parked.remove(pending)
+
+    def dispatch(self, now: float) -> None:
+        """Place what can be placed."""
+        self._wake(now)
+        if len(self._primary):
+            self._serve(self._primary, self._place_on_primary, now)
+        if len(self._reads):
+            self._serve(self._reads, self._place_read, now)
+
+    def next_wake(self) -> float:
+        """Give when the next parked request must be looked at."""
+        times = (pending.not_before for pending in self._parked)
+        return min(times, default=float('inf'))
+
+    def _queue_of(
+        self, pending: _pending.Pending
+    ) -> _queue.FairQueue[_pending.Pending]:
+        if pending.req.kind is _types.Kind.READ:
+            return self._reads
+        return self._primary
+
+    def _wake(self, now: float) -> None:
+        if not self._parked:
+            return
+        due = [p for p in self._parked if p.not_before <= now]
+        if not due:
+            return
+        self._parked = [p for p in self._parked if p.not_before > now]
+        for pending in due:
+            self._queue_of(pending).push(pending.req.tenant, pending)
+
+    def _serve(
+        self,
+        queue: _queue.FairQueue[_pending.Pending],
+        place: Place,
+        now: float,
+    ) -> None:
+        blocked: set[str] = set()
+        while True:
+            open_lines = [t for t in queue.tenants() if t not in blocked]
+            if not open_lines:
+                return
+            for tenant in open_lines:
+                if not self._serve_head(queue, tenant, place, now):
+                    blocked.add(tenant)
+
+    def _serve_head(
+        self,
+        queue: _queue.FairQueue[_pending.Pending],
+        tenant: str,
+        place: Place,
+        now: float,
+    ) -> bool:
+        """Try the head of a line; tell whether it moved."""
+        pending = queue.peek(tenant)
+        if pending is None:
+            return False
+        placement = place(pending, now)
+        if placement is _reads.Placement.BLOCKED:
+            return False
+        if placement is _reads.Placement.PRIMARY:
+            if queue is self._primary:
+                return False
+            queue.pop(tenant)
+            self._primary.push(tenant, pending)
+            return True
+        queue.pop(tenant)
+        if placement is _reads.Placement.PARKED:
+            self._parked.append(pending)
+        return True
--- /dev/null
+++ b/src/tidegrade/core/_group.py
@@ -0,0 +1,426 @@
+"""The group machine: every decision a proxy takes for one group.
+
+It has no socket, clock, task or random source of its own. Whoever drives
+it passes each event with the time and carries out the commands it gives.
+"""
+
+import random
+import typing
+
+from tidegrade import config
+from tidegrade.core import _confirm
+from tidegrade.core import _dispatch
+from tidegrade.core import _events
+from tidegrade.core import _jobs
+from tidegrade.core import _pending
+from tidegrade.core import _permission
+from tidegrade.core import _polls
+from tidegrade.core import _pool
+from tidegrade.core import _reads
+from tidegrade.core import _registry
+from tidegrade.core import _retry
+from tidegrade.core import _routing
+from tidegrade.core import _row
+from tidegrade.core import _state
+from tidegrade.core import _txns
+from tidegrade.core import _types
+from tidegrade.core import _view
+from tidegrade.core import _writes
+
+_TXN_KINDS = frozenset(
+    {_types.Kind.EXECUTE, _types.Kind.COMMIT, _types.Kind.ROLLBACK}
+)
+
+
+class GroupMachine:
+    """Takes one event and the time, gives the commands that follow."""
+
+    def __init__(
+        self,
+        cfg: config.Group,
+        settings: _state.MachineSettings,
+        policy: _routing.ReadPolicy,
+        rng: random.Random,
+    ) -> None:
+        state = _state.GroupState.create(cfg, settings, rng)
+        self._state = state
+        self._registry = _registry.Registry(state)
+        self._budget = _retry.RetryBudget()
+        self._confirmations = _confirm.Confirmations(state)
+        self._polls = _polls.Polling(state, self._confirmations)
+        self._reads = _reads.ReadPath(state, self._registry, policy)
+        self._writes = _writes.WritePath(
+            state, self._registry, self._confirmations, self._budget
+        )
+        self._txns = _txns.Transactions(state, self._registry, self._writes)
+        self._dispatcher = _dispatch.Dispatcher(
+            state, self._registry, self._reads.place, self._place_on_primary
+        )
+        self._controls: list[_events.ControlAsked] = []
+        self._handlers: dict[type, typing.Callable[..., None]] = {
+            _events.RequestArrived: self._request_arrived,
+            _events.RequestDropped: self._request_dropped,
+            _events.ConnOpened: self._conn_opened,
+            _events.ConnClosed: self._conn_closed,
+            _events.JobEnded: self._job_ended,
+            _events.RowSeen: self._row_seen,
+            _events.ConfigChanged: self._config_changed,
+            _events.GiveUp: self._give_up,
+            _events.Registered: self._registered,
+            _events.ControlAsked: self._control_asked,
+            _events.LeavingChanged: self._leaving_changed,
+            _events.DrainStarted: self._drain_started,
+            _events.Tick: self._tick,
+        }
+
+    # What others may look at ----------------------------------------------
+
+    @property
+    def row(self) -> _row.GroupRow | None:
+        """Give the newest row seen."""
+        return self._state.row
+
+    @property
+    def views(self) -> dict[str, _view.EndpointView]:
+        """Give what is known of each endpoint."""
+        return self._state.views
+
+    @property
+    def cfg(self) -> config.Group:
+        """Give the configuration in force."""
+        return self._state.cfg
+
+    @property
+    def waiting(self) -> int:
+        """Give how many requests wait for a connection."""
+        return self._dispatcher.waiting
+
+    @property
+    def transactions(self) -> int:
+        """Give how many interactive transactions are open."""
+        return len(self._txns)
+
+    def conn_count(self, endpoint: str) -> int:
+        """Give how many connections to an endpoint are held."""
+        return len(self._state.pool.of(endpoint))
+
+    def leaving(self, endpoint: str) -> bool:
+        """Tell whether an endpoint is being left."""
+        return endpoint in self._state.leaving_since
+
+    def may_acknowledge(self, now: float) -> bool:
+        """Tell whether writes may be acknowledged at ``now``."""
+        return self._state.may_acknowledge(now)
+
+    def in_use(self) -> bool:
+        """Tell whether a request or transaction is not finished."""
+        return bool(len(self._registry) or len(self._txns))
+
+    def next_wake(self) -> float:
+        """Give a time by which a tick is wanted."""
+        return self._dispatcher.next_wake()
+
+    def handle(
+        self, event: _events.Event, now: float
+    ) -> list[_events.Command]:
+        """Take one event at ``now`` and give the commands to carry out."""
+        self._handlers[type(event)](event, now)
+        for pending in self._confirmations.take_confirmed():
+            self._retry_if(self._writes.acknowledge(pending, now), pending)
+        if len(self._confirmations):
+            self._polls.poll_due(now)
+        self._run_controls(now)
+        self._dispatcher.dispatch(now)
+        commands = self._state.commands
+        self._state.commands = []
+        return commands
+
+    # Requests -------------------------------------------------------------
+
+    def _request_arrived(
+        self, event: _events.RequestArrived, now: float
+    ) -> None:
+        self._budget.earned()
+        pending = self._registry.admit(event.req, now)
+        if event.req.deadline <= now:
+            self._registry.refuse(pending, _types.Code.DEADLINE)
+        elif event.req.kind in _TXN_KINDS:
+            self._txns.use(pending, now)
+        elif self._state.draining and event.req.kind is _types.Kind.BEGIN:
+            self._registry.refuse(pending, _types.Code.DRAINING)
+        else:
+            self._dispatcher.add(pending, now)
+
+    def _request_dropped(
+        self, event: _events.RequestDropped, now: float
+    ) -> None:
+        pending = self._registry.get(event.req_id)
+        if pending is None or pending.sent_to or pending.commit_sent:
+            return
+        self._dispatcher.discard(pending)
+        self._registry.refuse(pending, _types.Code.DEADLINE)
+
+    def _place_on_primary(
+        self, pending: _pending.Pending, now: float
+    ) -> _reads.Placement:
+        if pending.req.kind is _types.Kind.READ:
+            return self._reads.place(pending, now)
+        if pending.req.kind is _types.Kind.BEGIN:
+            return self._txns.place_begin(pending, now)
+        return self._writes.place(pending, now)
+
+    def _retry_if(self, again: bool, pending: _pending.Pending) -> None:
+        if again:
+            self._dispatcher.park(pending)
+
+    # Connections ----------------------------------------------------------
+
+    def _conn_opened(self, event: _events.ConnOpened, now: float) -> None:
+        conn = self._state.pool.get(event.conn)
+        if conn is None:
+            return
+        self._state.pool.opened(conn)
+        if conn.state is _pool.ConnState.IDLE:
+            self._polls.poll_due(now)
+
+    def _conn_closed(self, event: _events.ConnClosed, now: float) -> None:
+        conn = self._state.pool.get(event.conn)
+        if conn is None:
+            return
+        if conn.state is _pool.ConnState.OPENING:
+            view = self._state.views[conn.endpoint]
+            view.failed(event.refused, now)
+        if conn.job is not None:
+            lost = _jobs.JobFailed(_jobs.Failure.LOST)
+            self._job_over(conn, lost, now)
+        self._txns.conn_lost(conn)
+        self._state.pool.closed(conn, now)
+
+    def _job_ended(self, event: _events.JobEnded, now: float) -> None:
+        conn = self._state.pool.get(event.conn)
+        if conn is None or conn.job is None:
+            # It comes after its request was given up: nobody's answer.
+            return
+        self._job_over(conn, event.outcome, now)
+
+    def _job_over(
+        self, conn: _pool.Conn, outcome: _jobs.JobOutcome, now: float
+    ) -> None:
+        job, owner, sent_at = conn.job, conn.owner, conn.sent_at
+        assert job is not None
+        conn.job = None
+        conn.owner = None
+        if conn.state is _pool.ConnState.BUSY:
+            conn.state = _pool.ConnState.IDLE
+        if isinstance(outcome, _jobs.JobDone):
+            self._observe(conn.endpoint, outcome.report, sent_at, now)
+        else:
+            self._job_failed(conn, outcome, now)
+        self._tell_owner(conn, job, owner, outcome, sent_at, now)
+
+    def _job_failed(
+        self, conn: _pool.Conn, failed: _jobs.JobFailed, now: float
+    ) -> None:
+        view = self._state.views[conn.endpoint]
+        if failed.failure in (_jobs.Failure.LOST, _jobs.Failure.TIMEOUT):
+            view.failed(False, now)
+        if not failed.usable:
+            self._state.close(conn)
+
+    def _tell_owner(
+        self,
+        conn: _pool.Conn,
+        job: _jobs.Job,
+        owner: object,
+        outcome: _jobs.JobOutcome,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        if isinstance(owner, _events.ControlAsked):
+            ended = _events.ControlEnded(owner.control, conn.endpoint, outcome)
+            self._state.order(ended)
+        elif isinstance(owner, _txns.TxnStep):
+            self._txns.step_ended(owner, conn, job, outcome, now)
+        elif isinstance(owner, _pending.Pending):
+            again = self._request_step(owner, conn, job, outcome, sent_at, now)
+            self._retry_if(again, owner)
+
+    def _request_step(
+        self,
+        pending: _pending.Pending,
+        conn: _pool.Conn,
+        job: _jobs.Job,
+        outcome: _jobs.JobOutcome,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        if isinstance(job, _jobs.ReadJob):
+            return self._reads.ended(pending, conn, outcome, sent_at, now)
+        if isinstance(job, _jobs.CommitJob):
+            return self._writes.commit_ended(pending, outcome, sent_at, now)
+        if pending.req.kind is _types.Kind.BEGIN:
+            return self._txns.begun(pending, conn, outcome, now)
+        return self._writes.started(pending, conn, outcome, now)
+
+    # Reports --------------------------------------------------------------
+
+    def _observe(
+        self,
+        name: str,
+        report: _types.EndpointReport,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        state = self._state
+        state.views[name].reported(report, sent_at, now)
+        state.permission.answered(name, report.promised, sent_at)
+        row = state.row
+        if row is None:
+            return
+        if max(report.marker, report.promised) > row.term:
+            state.order(_events.FetchRow())
+        if report.marker != row.term:
+            return
+        if name == row.primary:
+            if not report.in_recovery:
+                state.samples.add(sent_at, report.lsn)
+        else:
+            self._measure_delay(name, report.lsn, sent_at)
+
+    def _measure_delay(self, name: str, applied: int, sent_at: float) -> None:
+        """Hold the delay of a replica within what its report shows."""
+        samples = self._state.samples
+        view = self._state.views[name]
+        longest = sent_at - samples.fresh_at(applied)
+        lacks_since = samples.reached_at(applied + 1)
+        shortest = 0.0
+        if lacks_since is not None:
+            shortest = sent_at - lacks_since
+        if longest == float('inf'):
+            longest = max(shortest, view.apply_delay)
+        delay = min(max(view.apply_delay, shortest), max(longest, 0.0))
+        view.measured_delay(delay)
+
+    # The term, the configuration and the peers ----------------------------
+
+    def _row_seen(self, event: _events.RowSeen, now: float) -> None:
+        state = self._state
+        if state.row is not None and not is_newer(event.row, state.row):
+            return
+        former, state.row = state.row, event.row
+        if former is None or event.row.term > former.term:
+            self._new_term(event.row, now)
+
+    def _new_term(self, row: _row.GroupRow, now: float) -> None:
+        rules = _permission.PermissionRules(row.members)
+        self._state.permission.start_term(row.term, rules)
+        self._state.samples.clear()
+        self._txns.end_elsewhere(row.primary, now)
+        for pending in self._confirmations.take_before(row.term):
+            again = self._writes.unsettled(
+                pending, _types.Code.UNCONFIRMED, now
+            )
+            self._retry_if(again, pending)
+        self._polls.hurry()
+        self._polls.poll_due(now)
+
+    def _config_changed(
+        self, event: _events.ConfigChanged, now: float
+    ) -> None:
+        state = self._state
+        state.cfg = event.cfg
+        shares = _state.shares_of(event.cfg, event.max_proxies)
+        state.pool.set_shares(shares)
+        for name in event.cfg.endpoints:
+            state.views.setdefault(name, _view.EndpointView(name))
+        for conn in state.pool:
+            over = len(state.pool.of(conn.endpoint)) > state.pool.share(
+                conn.endpoint
+            )
+            if over and conn.state is _pool.ConnState.IDLE:
+                state.close(conn)
+
+    def _give_up(self, event: _events.GiveUp, now: float) -> None:
+        self._state.permission.give_up(event.below)
+        self._state.order(_events.FetchRow())
+
+    def _registered(self, event: _events.Registered, now: float) -> None:
+        self._state.registered = event.registered
+
+    def _leaving_changed(
+        self, event: _events.LeavingChanged, now: float
+    ) -> None:
+        since = self._state.leaving_since
+        for name in event.endpoints:
+            since.setdefault(name, now)
+        for name in list(since):
+            if name not in event.endpoints:
+                del since[name]
+
+    def _drain_started(self, event: _events.DrainStarted, now: float) -> None:
+        self._state.draining = True
+
+    # Supervision ----------------------------------------------------------
+
+    def _control_asked(self, event: _events.ControlAsked, now: float) -> None:
+        self._controls.append(event)
+
+    def _run_controls(self, now: float) -> None:
+        for control in list(self._controls):
+            if control.deadline <= now:
+                self._controls.remove(control)
+                late = _jobs.JobFailed(_jobs.Failure.TIMEOUT)
+                self._state.order(
+                    _events.ControlEnded(
+                        control.control, control.endpoint, late
+                    )
+                )
+                continue
+            conn = self._state.pool.idle(control.endpoint)
+            if conn is None:
+                self._state.open_if_allowed(control.endpoint, now)
+                continue
+            self._controls.remove(control)
+            self._state.run(conn, control.job, control, control.deadline, now)
+
+    # Time -----------------------------------------------------------------
+
+    def _tick(self, event: _events.Tick, now: float) -> None:
+        self._close_overdue_conns(now)
+        self._txns.expire(now)
+        self._refuse_overdue(now)
+        self._polls.poll_due(now)
+
+    def _close_overdue_conns(self, now: float) -> None:
+        for conn in self._polls.stuck(now):
+            self._state.views[conn.endpoint].failed(False, now)
+            self._state.pool.give_up_opening(conn, now)
+            self._state.close(conn)
+        for conn in self._state.pool:
+            if conn.job is not None and conn.deadline <= now:
+                late = _jobs.JobFailed(_jobs.Failure.TIMEOUT)
+                self._job_over(conn, late, now)
+
+    def _refuse_overdue(self, now: float) -> None:
+        for pending in self._registry.overdue(now):
+            if pending.sent_to:
+                continue
+            self._dispatcher.discard(pending)
+            self._confirmations.discard(pending)
+            code = pending.waiting_for
+            if pending.confirm_lsn:
+                code = _types.Code.UNCONFIRMED
+            self._registry.refuse(pending, code)
+
+
+def is_newer(row: _row.GroupRow, known: _row.GroupRow) -> bool:
+    """Tell whether a row is a later state of the group than another."""
+    return row_rank(row) > row_rank(known)
+
+
+def row_rank(row: _row.GroupRow) -> tuple[int, int, bool]:
+    """Give a value that rises with each change of a group's row."""
+    attempt = row.attempt
+    if attempt is None:
+        return (row.term, 0, False)
+    return (row.term, attempt.next_term, bool(attempt.chosen))
--- /dev/null
+++ b/src/tidegrade/core/_jobs.py
@@ -0,0 +1,153 @@
+"""Work that a connection to an endpoint carries out, and how it ends."""
+
+import enum
+
+import attrs
+
+from tidegrade.core import _types
+
+
+@attrs.frozen
+class StatusJob:
+    """Ask for the endpoint's report alone."""
+
+
+@attrs.frozen
+class ReadJob:
+    """Run statements in one read-only transaction, with a report."""
+
+    statements: tuple[_types.Statement, ...]
+
+
+@attrs.frozen
+class StartJob:
+    """Begin a transaction, run statements in it and leave it open.
+
+    With ``key`` the first statement records the idempotency key, so that
+    a second run of the same key can't get past it.
+    """
+
+    statements: tuple[_types.Statement, ...] = ()
+    key: str | None = None
+    fingerprint: str = ''
+
+
+@attrs.frozen
+class ExecuteJob:
+    """Run statements in the open transaction."""
+
+    statements: tuple[_types.Statement, ...]
+
+
+@attrs.frozen
+class CommitJob:
+    """Commit; with ``key``, first keep the results under that key."""
+
+    key: str | None = None
+    results: tuple[_types.ResultSet, ...] = ()
+
+
+@attrs.frozen
+class RollbackJob:
+    """Roll the open transaction back."""
+
+
+@attrs.frozen
+class SetupJob:
+    """Create the tables the proxy needs and mark the first term."""
+
+    term: int
+
+
+@attrs.frozen
+class FenceJob:
+    """Raise the endpoint's promise to ``term``; it never goes down."""
+
+    term: int
+
+
+@attrs.frozen
+class PromoteJob:
+    """Stop replication, promote, and mark ``term`` in the data.
+
+    Refused by an endpoint that has promised a later term meanwhile.
+    ``reelected`` says that the endpoint led the former term: its log goes
+    on and nothing is lost.
+    """
+
+    term: int
+    former_term: int
+    reelected: bool = False
+
+
+@attrs.frozen
+class FollowJob:
+    """Make a replica follow the primary at this address."""
+
+    host: str
+    port: int
+
+
+#: The end of a term's log when nothing of it was lost.
+NO_LOSS = 2**62
+
+
+Job = (
+    StatusJob
+    | ReadJob
+    | StartJob
+    | ExecuteJob
+    | CommitJob
+    | RollbackJob
+    | SetupJob
+    | FenceJob
+    | PromoteJob
+    | FollowJob
+)
+
+
+class Failure(enum.Enum):
+    """How a job failed; what it means for the transaction is beside it."""
+
+    #: The statement was refused; the transaction was rolled back.
+    STATEMENT = 'statement'
+    #: The key belongs to a request with another content; rolled back.
+    KEY_REUSED = 'key_reused'
+    #: The result is over the limit; the transaction was rolled back.
+    TOO_LARGE = 'too_large'
+    #: The connection broke; the endpoint rolls back what it didn't commit.
+    LOST = 'lost'
+    #: No answer in time; the connection is closed.
+    TIMEOUT = 'timeout'
+    #: The endpoint refused the job as unsafe, such as a late promotion.
+    REFUSED = 'refused'
+
+
+@attrs.frozen
+class JobDone:
+    """A job that succeeded.
+
+    ``after_lsn`` is the position read after the statements; ``replayed``
+    says that the results are those of an earlier run of the same key, and
+    that nothing ran now. ``fork_lsn`` is where a promotion ended the
+    former term's log.
+    """
+
+    report: _types.EndpointReport
+    results: tuple[_types.ResultSet, ...] = ()
+    after_lsn: int = 0
+    replayed: bool = False
+    fork_lsn: int = 0
+
+
+@attrs.frozen
+class JobFailed:
+    """A job that failed; ``usable`` says if the connection may go on."""
+
+    failure: Failure
+    detail: str = ''
+    sqlstate: str = ''
+    usable: bool = False
+
+
+JobOutcome = JobDone | JobFailed
--- /dev/null
+++ b/src/tidegrade/core/_reads.py
@@ -0,0 +1,259 @@
+"""Reads: choosing the endpoint, and checking what it answered."""
+
+import enum
+
+from tidegrade.core import _events
+from tidegrade.core import _jobs
+from tidegrade.core import _pending
+from tidegrade.core import _pool
+from tidegrade.core import _registry
+from tidegrade.core import _routing
+from tidegrade.core import _row
+from tidegrade.core import _state
+from tidegrade.core import _types
+
+#: Pause before a request looks again for a row it needs, in seconds.
+ROW_RETRY = 0.03
+#: Reports older than this don't make a replica a candidate, in seconds.
+REPORT_LIFE = 3.0
+
+
+class Placement(enum.Enum):
+    """What became of an attempt to place a request."""
+
+    #: A connection works on it, or it was answered.
+    TAKEN = 'taken'
+    #: No connection is free; it stays where it is.
+    BLOCKED = 'blocked'
+    #: It waits until its ``not_before``.
+    PARKED = 'parked'
+    #: It must wait for the primary.
+    PRIMARY = 'primary'
+
+
+class ReadPath:
+    """Carries reads from the queue to their answers."""
+
+    def __init__(
+        self,
+        state: _state.GroupState,
+        registry: _registry.Registry,
+        policy: _routing.ReadPolicy,
+    ) -> None:
+        self._state = state
+        self._registry = registry
+        self._policy = policy
+
+    def place(self, pending: _pending.Pending, now: float) -> Placement:
+        """Try to hand a read to an endpoint."""
+        row = self._state.row
+        if row is None:
+            return self._wait_for_row(pending, now)
+        floor = _row.floor_lsn(row, pending.req.floor)
+        if floor.is_err():
+            return self._floor_problem(pending, floor.unwrap_err(), now)
+        need = self._need(pending, floor.unwrap(), now)
+        route = self._route(need, now)
+        if isinstance(route, _routing.ToReplica):
+            return self._send(pending, route.name, now)
+        if isinstance(route, _routing.WaitUntil):
+            pending.not_before = route.at
+            return Placement.PARKED
+        if isinstance(route, _routing.WaitForFree):
+            self._open_more(now)
+            return Placement.BLOCKED
+        return self._to_primary(pending, row, now)
+
+    def ended(
+        self,
+        pending: _pending.Pending,
+        conn: _pool.Conn,
+        outcome: _jobs.JobOutcome,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Take in the end of a read; tell whether it must be tried again."""
+        pending.sent_to = ''
+        if isinstance(outcome, _jobs.JobFailed):
+            return self._failed(pending, outcome)
+        self._registry.service.served(now - sent_at)
+        if not self._satisfies(pending, conn, outcome, now):
+            pending.misses += 1
+            return True
+        self._answer(pending, conn, outcome, now)
+        return False
+
+    # Placing --------------------------------------------------------------
+
+    def _wait_for_row(
+        self, pending: _pending.Pending, now: float
+    ) -> Placement:
+        pending.waiting_for = _types.Code.NO_PRIMARY
+        pending.not_before = now + ROW_RETRY
+        self._state.order(_events.FetchRow())
+        return Placement.PARKED
+
+    def _floor_problem(
+        self,
+        pending: _pending.Pending,
+        problem: _row.FloorProblem,
+        now: float,
+    ) -> Placement:
+        if problem is _row.FloorProblem.NEWER_TERM:
+            return self._wait_for_row(pending, now)
+        self._registry.refuse(
+            pending,
+            _types.Code.HISTORY_LOST,
+            'a failover lost data that this session has seen',
+        )
+        return Placement.TAKEN
+
+    def _need(
+        self, pending: _pending.Pending, lsn: int, now: float
+    ) -> _routing.ReadNeed:
+        reached = self._state.samples.reached_at(lsn) if lsn else now
+        return _routing.ReadNeed(
+            lsn=lsn,
+            reached_at=reached,
+            max_age=pending.req.max_age,
+            arrived=pending.arrived,
+            deadline=pending.req.deadline,
+            misses=pending.misses,
+        )
+
+    def _route(self, need: _routing.ReadNeed, now: float) -> _routing.Route:
+        if need.max_age == 0:
+            return _routing.ToPrimary()
+        return self._policy.route(need, self._replicas(now), now)
+
+    def _replicas(self, now: float) -> list[_routing.ReplicaState]:
+        return [
+            self._replica_state(name)
+            for name in self._state.cfg.endpoints
+            if self._is_candidate(name, now)
+        ]
+
+    def _is_candidate(self, name: str, now: float) -> bool:
+        state = self._state
+        if state.row is None or name == state.row.primary:
+            return False
+        if not state.takes_work(name, now) or not state.on_history(name):
+            return False
+        view = state.views[name]
+        return now - view.sent_at < REPORT_LIFE and not view.failures
+
+    def _replica_state(self, name: str) -> _routing.ReplicaState:
+        state = self._state
+        view = state.views[name]
+        assert view.report is not None
+        endpoint = state.cfg.endpoints[name]
+        return _routing.ReplicaState(
+            name=name,
+            same_domain=endpoint.domain == state.settings.domain,
+            applied=view.report.lsn,
+            fresh_at=state.samples.fresh_at(view.report.lsn),
+            delay=view.apply_delay,
+            round_trip=view.round_trip,
+            free=state.pool.idle(name) is not None,
+            load=state.pool.busy_count(name),
+        )
+
+    def _open_more(self, now: float) -> None:
+        for replica in self._replicas(now):
+            if self._state.pool.opening(replica.name):
+                continue
+            if self._state.pool.may_open(replica.name, now):
+                self._state.open(replica.name, now)
+
+    def _to_primary(
+        self, pending: _pending.Pending, row: _row.GroupRow, now: float
+    ) -> Placement:
+        pending.waiting_for = _types.Code.NO_PRIMARY
+        if not self._state.primary_takes_work(now):
+            return Placement.PRIMARY
+        conn = self._state.pool.idle(row.primary)
+        if conn is None:
+            pending.waiting_for = _types.Code.OVERLOADED
+            self._state.open_if_allowed(row.primary, now)
+            return Placement.PRIMARY
+        return self._send(pending, row.primary, now)
+
+    def _send(
+        self, pending: _pending.Pending, name: str, now: float
+    ) -> Placement:
+        conn = self._state.pool.idle(name)
+        if conn is None:
+            return Placement.BLOCKED
+        pending.sent_to = name
+        pending.tries += 1
+        job = _jobs.ReadJob(pending.req.statements)
+        self._state.run(conn, job, pending, pending.req.deadline, now)
+        return Placement.TAKEN
+
+    # Answers --------------------------------------------------------------
+
+    def _failed(
+        self, pending: _pending.Pending, failed: _jobs.JobFailed
+    ) -> bool:
+        if failed.failure is _jobs.Failure.LOST:
+            pending.waiting_for = _types.Code.CONN_LOST
+            return True
+        code = {
+            _jobs.Failure.STATEMENT: _types.Code.STATEMENT_FAILED,
+            _jobs.Failure.TOO_LARGE: _types.Code.RESULT_TOO_LARGE,
+        }.get(failed.failure, _types.Code.DEADLINE)
+        self._registry.refuse(pending, code, failed.detail)
+        return False
+
+    def _satisfies(
+        self,
+        pending: _pending.Pending,
+        conn: _pool.Conn,
+        done: _jobs.JobDone,
+        now: float,
+    ) -> bool:
+        """Check the answer itself against the need, not cached positions."""
+        state = self._state
+        row = state.row
+        if row is None or done.report.marker != row.term:
+            state.order(_events.FetchRow())
+            return False
+        floor = _row.floor_lsn(row, pending.req.floor)
+        if floor.is_err() or done.report.lsn < floor.unwrap():
+            return False
+        if pending.req.max_age is None:
+            return True
+        if pending.req.max_age == 0:
+            is_primary = conn.endpoint == row.primary
+            return is_primary and state.may_acknowledge(now)
+        age = self._age(conn, done, now)
+        return age <= pending.req.max_age
+
+    def _age(self, conn: _pool.Conn, done: _jobs.JobDone, now: float) -> float:
+        """Give a bound of the data's age at ``now``, in seconds."""
+        state = self._state
+        assert state.row is not None
+        if conn.endpoint == state.row.primary and state.may_acknowledge(now):
+            return 0.0
+        return now - state.samples.fresh_at(done.report.lsn)
+
+    def _answer(
+        self,
+        pending: _pending.Pending,
+        conn: _pool.Conn,
+        done: _jobs.JobDone,
+        now: float,
+    ) -> None:
+        row = self._state.row
+        assert row is not None
+        seen = max(done.after_lsn, done.report.lsn)
+        age = self._age(conn, done, now)
+        answer = _types.Answer(
+            _types.Outcome.DONE,
+            results=done.results,
+            position=_types.Position(row.term, seen),
+            endpoint=conn.endpoint,
+            from_replica=conn.endpoint != row.primary,
+            age=None if age == float('inf') else age,
+        )
+        self._registry.answer(pending, answer)
--- /dev/null
+++ b/src/tidegrade/core/_registry.py
@@ -0,0 +1,108 @@
+"""The unanswered requests, and the one final answer of each."""
+
+from tidegrade.core import _events
+from tidegrade.core import _pending
+from tidegrade.core import _queue
+from tidegrade.core import _state
+from tidegrade.core import _types
+
+#: When to come back while a group has no primary, in seconds.
+NO_PRIMARY_RETRY = 0.5
+
+#: Refusals that coming back later can't mend.
+FINAL_CODES = frozenset(
+    {
+        _types.Code.STATEMENT_FAILED,
+        _types.Code.RESULT_TOO_LARGE,
+        _types.Code.KEY_REUSED,
+        _types.Code.TXN_UNKNOWN,
+        _types.Code.HISTORY_LOST,
+    }
+)
+
+
+class Registry:
+    """Requests by id from their arrival to their answer."""
+
+    def __init__(self, state: _state.GroupState) -> None:
+        self._state = state
+        self._open: dict[int, _pending.Pending] = {}
+        self.service = _queue.ServiceTime()
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def admit(self, req: _types.Request, now: float) -> _pending.Pending:
+        """Take in a request; its id must be new."""
+        _types.invariant(req.id not in self._open, 'a request id came twice')
+        pending = _pending.Pending(req, arrived=now)
+        self._open[req.id] = pending
+        return pending
+
+    def get(self, req_id: int) -> _pending.Pending | None:
+        """Give a request that has no answer yet."""
+        return self._open.get(req_id)
+
+    def unanswered(self, pending: _pending.Pending) -> bool:
+        """Tell whether a request still waits for its answer."""
+        return pending.req.id in self._open
+
+    def overdue(self, now: float) -> list[_pending.Pending]:
+        """Give the requests whose deadline has come."""
+        return [p for p in self._open.values() if p.req.deadline <= now]
+
+    def answer(self, pending: _pending.Pending, answer: _types.Answer) -> None:
+        """Give the final answer; a second one breaks an invariant."""
+        _types.invariant(
+            self.unanswered(pending), 'a request was answered twice'
+        )
+        _types.invariant(
+            answer.outcome is not _types.Outcome.NOT_RUN
+            or not pending.commit_sent,
+            'not_run was said of a request that may have committed',
+        )
+        del self._open[pending.req.id]
+        self._state.order(_events.Reply(pending.req.id, answer))
+
+    def refuse(
+        self,
+        pending: _pending.Pending,
+        code: _types.Code,
+        detail: str = '',
+        ahead: int = 0,
+    ) -> None:
+        """Give up on a request: not run, or unknown if it may have."""
+        outcome = _types.Outcome.NOT_RUN
+        if pending.commit_sent:
+            outcome = _types.Outcome.UNKNOWN
+        self.answer(
+            pending,
+            _types.Answer(
+                outcome,
+                code=code,
+                detail=detail,
+                retry_after=self._retry_after(code, ahead),
+            ),
+        )
+
+    def unknown(
+        self,
+        pending: _pending.Pending,
+        code: _types.Code,
+        detail: str = '',
+    ) -> None:
+        """Say that nobody can tell whether the request took effect."""
+        pending.commit_sent = True
+        self.refuse(pending, code, detail)
+
+    def _retry_after(self, code: _types.Code, ahead: int) -> float | None:
+        if code in FINAL_CODES:
+            return None
+        if code is _types.Code.NO_PRIMARY:
+            return NO_PRIMARY_RETRY
+        return self.service.retry_after(ahead, self.width())
+
+    def width(self) -> int:
+        """Give the number of connections that serve this group."""
+        names = self._state.cfg.endpoints
+        return sum(self._state.pool.share(name) for name in names)
--- /dev/null
+++ b/src/tidegrade/core/_routing.py
@@ -0,0 +1,183 @@
+"""Where a read goes: to which replica, when, or to the primary."""
+
+from collections.abc import Sequence
+import typing
+
+import attrs
+
+#: Longest time a read waits for a replica to catch up, in seconds.
+MAX_REPLICA_WAIT = 0.3
+#: Share of the time left to the deadline that such a wait may take.
+WAIT_SHARE = 0.5
+#: Reads sent to a replica that proved too far behind, before the primary.
+MAX_MISSES = 2
+#: Time added to a predicted arrival, so that the replica has it for sure.
+ARRIVAL_MARGIN = 0.002
+
+
+@attrs.frozen
+class ReadNeed:
+    """What a read asks of the data.
+
+    ``lsn`` must be applied; the primary reached it about at
+    ``reached_at``. ``max_age`` bounds the staleness in seconds.
+    """
+
+    lsn: int
+    reached_at: float | None
+    max_age: float | None
+    arrived: float
+    deadline: float
+    misses: int = 0
+
+
+@attrs.frozen
+class ReplicaState:
+    """What is known of a replica that may serve reads.
+
+    ``fresh_at`` is a time up to which its data is complete; ``delay``
+    how far behind the primary it usually is, in seconds.
+    """
+
+    name: str
+    same_domain: bool
+    applied: int
+    fresh_at: float
+    delay: float
+    round_trip: float
+    free: bool
+    load: int
+
+
+@attrs.frozen
+class ToReplica:
+    """Send the read to this replica now."""
+
+    name: str
+
+
+@attrs.frozen
+class WaitUntil:
+    """Decide again at this time: a replica should be ready then."""
+
+    at: float
+
+
+@attrs.frozen
+class WaitForFree:
+    """A replica has the data but no free connection: wait for one."""
+
+
+@attrs.frozen
+class ToPrimary:
+    """Send the read to the primary."""
+
+
+Route = ToReplica | WaitUntil | WaitForFree | ToPrimary
+
+
+class ReadPolicy(typing.Protocol):
+    """Decides where a read goes."""
+
+    def route(
+        self, need: ReadNeed, replicas: Sequence[ReplicaState], now: float
+    ) -> Route:
+        """Give the decision for one read at ``now``."""
+
+
+class PrimaryOnly:
+    """Sends every read to the primary; a baseline."""
+
+    def route(
+        self, need: ReadNeed, replicas: Sequence[ReplicaState], now: float
+    ) -> Route:
+        """Give the primary."""
+        return ToPrimary()
+
+
+@attrs.frozen
+class PrimaryAfterWrite:
+    """Reads stay on the primary for a while after a write; a baseline.
+
+    The session's last write counts as happening when the primary reached
+    the session's position.
+    """
+
+    hold: float = 5.0
+
+    def route(
+        self, need: ReadNeed, replicas: Sequence[ReplicaState], now: float
+    ) -> Route:
+        """Give any replica once the hold is over."""
+        written = need.reached_at
+        if need.lsn and (written is None or now - written < self.hold):
+            return ToPrimary()
+        covering = [r for r in replicas if covers(r, need, now)]
+        return _best(covering) or ToPrimary()
+
+
+@attrs.frozen
+class SessionReplica:
+    """Prefers a replica that covers the session, and waits a little.
+
+    A replica known to cover the need is taken at once. Otherwise the read
+    waits until one is predicted to cover it, as long as that is soon; the
+    connection that answers proves it, so a wrong prediction costs a try.
+    """
+
+    max_wait: float = MAX_REPLICA_WAIT
+
+    def route(
+        self, need: ReadNeed, replicas: Sequence[ReplicaState], now: float
+    ) -> Route:
+        """Give the replica, the wait or the primary."""
+        covering = [r for r in replicas if covers(r, need, now)]
+        best = _best(covering)
+        if best is not None:
+            return best
+        if covering:
+            return WaitForFree()
+        if need.misses >= MAX_MISSES or not replicas:
+            return ToPrimary()
+        return self._predicted(need, replicas, now)
+
+    def _predicted(
+        self, need: ReadNeed, replicas: Sequence[ReplicaState], now: float
+    ) -> Route:
+        usable = [r for r in replicas if _usually_covers(r, need)]
+        if need.reached_at is None or not usable:
+            return ToPrimary()
+        first = min(usable, key=lambda r: r.delay)
+        expected = need.reached_at + first.delay + ARRIVAL_MARGIN
+        if need.misses:
+            expected = max(expected, now + first.delay / 2)
+        if expected <= now:
+            if first.free:
+                return ToReplica(first.name)
+            return WaitForFree()
+        allowed = min(self.max_wait, (need.deadline - now) * WAIT_SHARE)
+        if expected - need.arrived > allowed:
+            return ToPrimary()
+        return WaitUntil(expected)
+
+
+def covers(replica: ReplicaState, need: ReadNeed, now: float) -> bool:
+    """Tell whether a replica is known to satisfy the need."""
+    if replica.applied < need.lsn:
+        return False
+    if need.max_age is None:
+        return True
+    age = now + replica.round_trip - replica.fresh_at
+    return age <= need.max_age
+
+
+def _usually_covers(replica: ReplicaState, need: ReadNeed) -> bool:
+    return need.max_age is None or replica.delay <= need.max_age
+
+
+def _best(covering: Sequence[ReplicaState]) -> ToReplica | None:
+    free = [r for r in covering if r.free]
+    if not free:
+        return None
+    best = min(free, key=lambda r: (r.load, not r.same_domain, r.round_trip))
+    return ToReplica(best.name)
--- /dev/null
+++ b/src/tidegrade/core/_row.py
@@ -0,0 +1,77 @@
+"""The group's row in the platform's table: its term and its past terms."""
+
+import enum
+
+import attrs
+import result
+
+from tidegrade.core import _types
+
+
+@attrs.frozen
+class Fork:
+    """Where a past term's log ends in the history that goes on."""
+
+    term: int
+    end_lsn: int
+
+
+@attrs.frozen
+class Attempt:
+    """A change of primary in progress.
+
+    ``chosen`` is the endpoint to promote, empty until it is decided.
+    """
+
+    id: str
+    by: str
+    next_term: int
+    chosen: str = ''
+
+
+@attrs.frozen
+class GroupRow:
+    """The agreed state of a group.
+
+    ``members`` are the endpoints that vote in this term: they grant write
+    permission and count for a majority. They change only with the term,
+    following the configuration of ``config_version``.
+    ``forks`` holds one entry for each past term, oldest first.
+    """
+
+    term: int
+    primary: str
+    members: frozenset[str]
+    forks: tuple[Fork, ...] = ()
+    config_version: int = 0
+    attempt: Attempt | None = None
+
+    @property
+    def majority(self) -> int:
+        """Give the number of members that a decision needs."""
+        return len(self.members) // 2 + 1
+
+
+class FloorProblem(enum.Enum):
+    """Why a session's position can't be mapped to the current term."""
+
+    LOST = 'lost'
+    NEWER_TERM = 'newer_term'
+
+
+def floor_lsn(
+    row: GroupRow, floor: _types.Position | None
+) -> result.Result[int, FloorProblem]:
+    """Give the lowest LSN of the current term that covers ``floor``.
+
+    A position past the fork of its own term, or of a later one, names data
+    that a failover lost.
+    """
+    if floor is None:
+        return result.Ok(0)
+    if floor.term > row.term:
+        return result.Err(FloorProblem.NEWER_TERM)
+    for fork in row.forks:
+        if fork.term >= floor.term and floor.lsn > fork.end_lsn:
+            return result.Err(FloorProblem.LOST)
+    return result.Ok(floor.lsn)
--- /dev/null
+++ b/src/tidegrade/core/_state.py
@@ -0,0 +1,134 @@
+"""The state of one group on one proxy, shared by the parts that decide."""
+
+import random
+
+import attrs
+
+from tidegrade import config
+from tidegrade.core import _events
+from tidegrade.core import _jobs
+from tidegrade.core import _permission
+from tidegrade.core import _pool
+from tidegrade.core import _row
+from tidegrade.core import _types
+from tidegrade.core import _view
+
+#: How long a leaving primary takes writes while its term is ended.
+LEAVING_GRACE = 1.0
+
+
+@attrs.frozen
+class MachineSettings:
+    """What a group machine must know of the proxy it runs in."""
+
+    proxy_id: str
+    domain: str
+    max_proxies: int
+
+
+def shares_of(cfg: config.Group, max_proxies: int) -> dict[str, int]:
+    """Give this proxy's part of each endpoint's connections."""
+    return {
+        name: endpoint.max_connections // max_proxies
+        for name, endpoint in cfg.endpoints.items()
+    }
+
+
+@attrs.define
+class GroupState:
+    """What a proxy knows of a group, and the commands it has decided."""
+
+    cfg: config.Group
+    settings: MachineSettings
+    rng: random.Random
+    pool: _pool.Pool
+    permission: _permission.Permission
+    views: dict[str, _view.EndpointView]
+    samples: _view.PositionSamples = attrs.field(factory=_view.PositionSamples)
+    row: _row.GroupRow | None = None
+    registered: bool = False
+    draining: bool = False
+    leaving_since: dict[str, float] = attrs.field(factory=dict)
+    commands: list[_events.Command] = attrs.field(factory=list)
+
+    @classmethod
+    def create(
+        cls,
+        cfg: config.Group,
+        settings: MachineSettings,
+        rng: random.Random,
+    ) -> 'GroupState':
+        """Give the state of a proxy that knows only its configuration."""
+        return cls(
+            cfg=cfg,
+            settings=settings,
+            rng=rng,
+            pool=_pool.Pool(shares_of(cfg, settings.max_proxies), rng),
+            permission=_permission.Permission(),
+            views={n: _view.EndpointView(n) for n in cfg.endpoints},
+        )
+
+    def order(self, command: _events.Command) -> None:
+        """Add a command to those that the current event leads to."""
+        self.commands.append(command)
+
+    def run(
+        self,
+        conn: _pool.Conn,
+        job: _jobs.Job,
+        owner: object,
+        deadline: float,
+        now: float,
+    ) -> None:
+        """Run a job on a connection that has none."""
+        _types.invariant(conn.job is None, 'two jobs on one connection')
+        conn.state = _pool.ConnState.BUSY
+        conn.job = job
+        conn.owner = owner
+        conn.sent_at = now
+        conn.deadline = deadline
+        self.order(_events.RunJob(conn.id, job, deadline))
+
+    def open(self, endpoint: str, now: float) -> None:
+        """Order another connection to an endpoint."""
+        conn = self.pool.open(endpoint, now)
+        self.order(_events.OpenConn(conn.id, endpoint))
+
+    def close(self, conn: _pool.Conn) -> None:
+        """Order the end of a connection, once."""
+        if conn.state is not _pool.ConnState.CLOSING:
+            conn.state = _pool.ConnState.CLOSING
+            conn.job = None
+            conn.owner = None
+            self.order(_events.CloseConn(conn.id))
+
+    def may_acknowledge(self, now: float) -> bool:
+        """Tell whether writes of the current term may be acknowledged."""
+        return self.registered and self.permission.held(now)
+
+    def on_history(self, name: str) -> bool:
+        """Tell whether an endpoint's data belongs to the current term."""
+        report = self.views[name].report
+        if report is None or self.row is None:
+            return False
+        return report.marker == self.row.term
+
+    def takes_work(self, name: str, now: float) -> bool:
+        """Tell whether an endpoint may get callers' work."""
+        return name in self.cfg.endpoints and name not in self.leaving_since
+
+    def primary_takes_work(self, now: float) -> bool:
+        """Tell whether the primary is known and may get callers' work."""
+        if self.row is None:
+            return False
+        name = self.row.primary
+        if name not in self.cfg.endpoints:
+            return False
+        leaving = self.leaving_since.get(name)
+        return leaving is None or now < leaving + LEAVING_GRACE
+
+    def open_if_allowed(self, name: str, now: float) -> None:
+        """Order a connection unless one is coming or none may be had."""
+        if self.pool.opening(name) or not self.pool.may_open(name, now):
+            return
+        self.open(name, now)
--- /dev/null
+++ b/src/tidegrade/core/_types.py
@@ -0,0 +1,152 @@
+"""Values that the decision core shares with everything around it."""
+
+import enum
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class Position:
+    """A place in a group's log.
+
+    ``lsn`` is a byte offset, comparable only within one ``term`` or, across
+    terms, through :class:`tidegrade.core.GroupRow`.
+    """
+
+    term: int
+    lsn: int
+
+
+@attrs.frozen
+class Statement:
+    """One SQL statement with its positional parameters."""
+
+    sql: str
+    params: tuple[object, ...] = ()
+
+
+@attrs.frozen
+class ResultSet:
+    """What one statement returned."""
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[object, ...], ...]
+    row_count: int
+
+
+class Outcome(enum.Enum):
+    """What is known of a request's effects when it is answered."""
+
+    DONE = 'done'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+class Kind(enum.Enum):
+    """What a request asks for."""
+
+    READ = 'read'
+    WRITE = 'write'
+    BEGIN = 'begin'
+    EXECUTE = 'execute'
+    COMMIT = 'commit'
+    ROLLBACK = 'rollback'
+
+
+class Code(enum.Enum):
+    """Stable problem codes, part of the caller interface."""
+
+    DEADLINE = 'deadline_exceeded'
+    OVERLOADED = 'overloaded'
+    NO_PRIMARY = 'no_primary'
+    TOO_STALE = 'too_stale'
+    HISTORY_LOST = 'history_lost'
+    STATEMENT_FAILED = 'statement_failed'
+    RESULT_TOO_LARGE = 'result_too_large'
+    KEY_REUSED = 'idempotency_key_reused'
+    TXN_UNKNOWN = 'transaction_unknown'
+    TXN_BUSY = 'transaction_busy'
+    TXN_LIMIT = 'too_many_transactions'
+    UNCONFIRMED = 'unconfirmed'
+    CONN_LOST = 'connection_lost'
+    DRAINING = 'draining'
+    TXN_UNREACHABLE = 'transaction_unreachable'
+    UNAUTHORIZED = 'unauthorized'
+    NOT_FOUND = 'not_found'
+    BAD_REQUEST = 'bad_request'
+    TENANT_LIMIT = 'tenant_limit'
+    NO_CONFIG = 'no_configuration'
+
+
+@attrs.frozen
+class Request:
+    """One request of a caller to one group.
+
+    Times are in seconds of the clock that feeds the core. ``floor`` is what
+    the session has seen. ``max_age`` bounds the staleness of a read (None:
+    only ``floor`` counts; 0: the primary answers). ``idempotent`` allows a
+    retry without a key; ``key`` allows one with it.
+    """
+
+    id: int
+    tenant: str
+    kind: Kind
+    deadline: float
+    statements: tuple[Statement, ...] = ()
+    floor: Position | None = None
+    max_age: float | None = None
+    idempotent: bool = False
+    key: str | None = None
+    fingerprint: str = ''
+    txn: str = ''
+
+
+@attrs.frozen
+class Answer:
+    """The one final answer to a request.
+
+    ``position`` is what the session has seen from here on. ``retry_after``
+    is in seconds. ``age`` bounds the staleness of the data read, in seconds.
+    A write may be acknowledged only before ``acknowledge_until``, which is
+    checked once more at the last step before the answer leaves.
+    """
+
+    outcome: Outcome
+    code: Code | None = None
+    detail: str = ''
+    results: tuple[ResultSet, ...] = ()
+    position: Position | None = None
+    endpoint: str = ''
+    from_replica: bool = False
+    age: float | None = None
+    replayed: bool = False
+    retry_after: float | None = None
+    txn: str = ''
+    acknowledge_until: float | None = None
+
+
+@attrs.frozen
+class EndpointReport:
+    """What an endpoint says of itself, read beside every statement.
+
+    ``lsn`` is the applied position on a replica and the current one on a
+    primary; ``received_lsn`` what a replica holds durably. ``marker`` is the
+    term written in the data itself; ``promised`` the lowest term for which
+    this endpoint still grants write permission.
+    """
+
+    in_recovery: bool
+    lsn: int
+    received_lsn: int
+    marker: int
+    promised: int
+
+
+class InvariantBroken(AssertionError):
+    """A state that must never be reached; the process must stop."""
+
+
+def invariant(holds: bool, what: str) -> None:
+    """Stop the process unless ``holds``; also with assertions disabled."""
+    if not holds:
+        raise InvariantBroken(what)
--- /dev/null
+++ b/src/tidegrade/core/_view.py
@@ -0,0 +1,106 @@
+"""What a proxy knows of one endpoint, and how old data there may be."""
+
+import collections
+
+import attrs
+
+from tidegrade.core import _types
+
+#: Positions of the primary kept for bounding the age of a replica's data.
+SAMPLES_KEPT = 512
+#: Weight of the newest measurement in a moving average.
+EWMA_WEIGHT = 0.2
+
+
+@attrs.define
+class EndpointView:
+    """The last report of an endpoint and how it has been answering.
+
+    ``sent_at`` is when the request that brought the last report was sent,
+    so the report is at least as fresh as that.
+    """
+
+    name: str
+    report: _types.EndpointReport | None = None
+    sent_at: float = float('-inf')
+    seen_at: float = float('-inf')
+    failures: int = 0
+    first_failure: float = float('inf')
+    refused: bool = False
+    apply_delay: float = 0.05
+    round_trip: float = 0.005
+    leaving: bool = False
+
+    def reported(
+        self, report: _types.EndpointReport, sent_at: float, now: float
+    ) -> None:
+        """Take in an answer; an older one than the last changes nothing."""
+        self.failures = 0
+        self.refused = False
+        self.first_failure = float('inf')
+        self.seen_at = max(self.seen_at, now)
+        took = now - sent_at
+        self.round_trip += EWMA_WEIGHT * (took - self.round_trip)
+        if sent_at >= self.sent_at:
+            self.report = report
+            self.sent_at = sent_at
+
+    def failed(self, refused: bool, now: float) -> None:
+        """Count a failed attempt to open a connection or get a report."""
+        self.failures += 1
+        self.refused = refused
+        self.first_failure = min(self.first_failure, now)
+
+    def measured_delay(self, delay: float) -> None:
+        """Take in how far behind the primary this replica was."""
+        self.apply_delay += EWMA_WEIGHT * (delay - self.apply_delay)
+
+
+@attrs.frozen
+class Sample:
+    """The primary had reached at least ``lsn`` when a poll left at ``at``."""
+
+    at: float
+    lsn: int
+
+
+class PositionSamples:
+    """The primary's positions over time, on this proxy's own clock.
+
+    A replica that has applied the position the primary reported to a poll
+    sent at ``t`` holds all that was acknowledged before ``t``: its data is
+    at most ``now - t`` old. No clock of another machine is involved.
+    """
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[Sample] = collections.deque(
+            maxlen=SAMPLES_KEPT
+        )
+
+    def add(self, at: float, lsn: int) -> None:
+        """Note a report of the primary whose request was sent at ``at``."""
+        if self._samples and at <= self._samples[-1].at:
+            return
+        if len(self._samples) >= 2 and self._samples[-2].lsn == lsn:
+            self._samples.pop()
+        self._samples.append(Sample(at, lsn))
+
+    def clear(self) -> None:
+        """Forget all, as when the term changes."""
+        self._samples.clear()
+
+    def fresh_at(self, applied: int) -> float:
+        """Give a time up to which data at ``applied`` is complete."""
+        for sample in reversed(self._samples):
+            if sample.lsn <= applied:
+                return sample.at
+        return float('-inf')
+
+    def reached_at(self, lsn: int) -> float | None:
+        """Give about when the primary reached ``lsn``, if it is known."""
+        reached = None
+        for sample in reversed(self._samples):
+            if sample.lsn < lsn:
+                break
+            reached = sample.at
+        return reached
--- /dev/null
+++ b/tests/core/test_permission.py
@@ -0,0 +1,91 @@
+"""Write permissions: majorities, fences, time."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tidegrade.core import _permission
+
+MEMBERS = ('a', 'b', 'c')
+LENGTH = _permission.PERMISSION_LENGTH
+
+
+def permission(term: int = 1) -> _permission.Permission:
+    made = _permission.Permission()
+    rules = _permission.PermissionRules(frozenset(MEMBERS))
+    made.start_term(term, rules)
+    return made
+
+
+def test_one_member_of_three_grants_nothing():
+    held = permission()
+    held.answered('a', 0, 10.0)
+    assert not held.held(10.0)
+
+
+def test_a_majority_grants_from_the_sending_of_its_oldest_poll():
+    held = permission()
+    held.answered('a', 0, 10.0)
+    held.answered('b', 0, 10.5)
+    assert held.held(10.0 + LENGTH - 0.01)
+    assert not held.held(10.0 + LENGTH)
+
+
+def test_a_fenced_member_grants_nothing():
+    held = permission()
+    held.answered('a', 0, 10.0)
+    held.answered('b', 2, 10.0)
+    assert not held.held(10.0)
+
+
+def test_a_member_fenced_later_withdraws_its_grant():
+    held = permission()
+    held.answered('a', 0, 10.0)
+    held.answered('b', 0, 10.0)
+    held.answered('b', 2, 10.1)
+    assert not held.held(10.2)
+
+
+def test_an_answer_that_arrives_late_changes_nothing():
+    held = permission()
+    held.answered('a', 0, 10.0)
+    held.answered('b', 2, 10.2)
+    held.answered('b', 0, 10.1)
+    assert not held.held(10.2)
+
+
+def test_given_up_is_never_held_again():
+    held = permission()
+    held.give_up(2)
+    held.answered('a', 0, 10.0)
+    held.answered('b', 0, 10.0)
+    assert not held.held(10.0)
+
+
+def test_grants_do_not_pass_to_the_next_term():
+    held = permission()
+    held.answered('a', 0, 10.0)
+    held.answered('b', 0, 10.0)
+    rules = _permission.PermissionRules(frozenset(MEMBERS))
+    held.start_term(2, rules)
+    assert not held.held(10.0)
+
+
+polls = st.lists(
+    st.tuples(st.sampled_from(MEMBERS), st.floats(0, 3)), max_size=12
+)
+
+
+@given(
+    polls=polls,
+    fence=st.lists(
+        st.sampled_from(MEMBERS), min_size=2, max_size=3, unique=True
+    ),
+    fenced_at=st.floats(0, 3),
+)
+def test_no_permission_outlives_a_fenced_majority(polls, fence, fenced_at):
+    """Whatever is polled when, the wait of a supervisor is enough."""
+    held = permission()
+    for member, sent_at in polls:
+        fenced = member in fence and sent_at >= fenced_at
+        held.answered(member, 2 if fenced else 1, sent_at)
+    assert not held.held(fenced_at + _permission.PERMISSION_WAIT)
