--- /dev/null
+++ b/src/tidegrade/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the real outside, behind the ports."""
--- /dev/null
+++ b/src/tidegrade/adapters/_http_common.py
@@ -0,0 +1,152 @@
+"""Problem details, limits and bodies for the HTTP interfaces."""
+
+from collections.abc import Callable
+import math
+
+import anyio
+import attrs
+import orjson
+from starlette import requests
+from starlette import responses
+from starlette import types
+
+from tidegrade.adapters import _logs
+from tidegrade import core
+
+PROBLEM_TYPE = 'application/problem+json'
+JSON_TYPE = 'application/json'
+
+#: Status of each problem code; RFC 9110 gives their meaning.
+STATUS_OF = {
+    core.Code.DEADLINE: 504,
+    core.Code.OVERLOADED: 503,
+    core.Code.NO_PRIMARY: 503,
+    core.Code.TOO_STALE: 503,
+    core.Code.HISTORY_LOST: 409,
+    core.Code.STATEMENT_FAILED: 422,
+    core.Code.RESULT_TOO_LARGE: 422,
+    core.Code.KEY_REUSED: 422,
+    core.Code.TXN_UNKNOWN: 404,
+    core.Code.TXN_BUSY: 409,
+    core.Code.TXN_LIMIT: 503,
+    core.Code.UNCONFIRMED: 504,
+    core.Code.CONN_LOST: 504,
+    core.Code.DRAINING: 503,
+    core.Code.TXN_UNREACHABLE: 503,
+    core.Code.UNAUTHORIZED: 401,
+    core.Code.NOT_FOUND: 404,
+    core.Code.BAD_REQUEST: 400,
+    core.Code.TENANT_LIMIT: 429,
+    core.Code.NO_CONFIG: 503,
+}
+
+
+@attrs.frozen
+class BadRequest(Exception):
+    """A request that can't be understood; nothing of it ran."""
+
+    status: int
+    details: tuple[str, ...]
+
+
+def problem(
+    status: int,
+    code: str,
+    detail: str,
+    fields: dict[str, object] | None = None,
+    retry_after: float | None = None,
+) -> responses.Response:
+    """Give problem details as RFC 9457 describes them."""
+    body: dict[str, object] = {
+        'type': 'about:blank',
+        'status': status,
+        'code': code,
+        'detail': detail,
+        **(fields or {}),
+    }
+    headers = {}
+    if retry_after is not None:
+        body['retry_after_s'] = round(retry_after, 3)
+        headers['Retry-After'] = str(math.ceil(retry_after))
+    if status == 401:
+        headers['WWW-Authenticate'] = 'Bearer'
+    return responses.Response(
+        orjson.dumps(body), status, headers, media_type=PROBLEM_TYPE
+    )
+
+
+def json_response(
+    body: object, status: int = 200, headers: dict[str, str] | None = None
+) -> responses.Response:
+    """Give a JSON response."""
+    return responses.Response(
+        orjson.dumps(body), status, headers, media_type=JSON_TYPE
+    )
+
+
+async def read_body(
+    req: requests.Request, limit: int, time_limit: float
+) -> bytes:
+    """Read a body within its limits of size and time."""
+    chunks = bytearray()
+    try:
+        with anyio.fail_after(time_limit):
+            async for chunk in req.stream():
+                chunks += chunk
+                if len(chunks) > limit:
+                    raise BadRequest(413, (f'a body has up to {limit} bytes',))
+    except TimeoutError:
+        detail = f'the body took more than {time_limit} s'
+        raise BadRequest(408, (detail,)) from None
+    except requests.ClientDisconnect:
+        raise BadRequest(400, ('the body is incomplete',)) from None
+    return bytes(chunks)
+
+
+async def bad_request(
+    req: requests.Request, exc: Exception
+) -> responses.Response:
+    """Answer a :class:`BadRequest`."""
+    assert isinstance(exc, BadRequest)
+    return problem(
+        exc.status,
+        core.Code.BAD_REQUEST.value,
+        '; '.join(exc.details),
+        {
+            'outcome': core.Outcome.NOT_RUN.value,
+            'errors': list(exc.details),
+        },
+    )
+
+
+async def internal_fault(
+    req: requests.Request, exc: Exception
+) -> responses.Response:
+    """Answer a request that met a fault of ours; nobody knows its end."""
+    _logs.write(
+        _logs.LogEvent.REQUEST_FAILED,
+        path=req.url.path,
+        fault=f'{type(exc).__name__}: {exc}',
+    )
+    return problem(
+        500,
+        'internal_fault',
+        'the proxy met a fault of its own',
+        {'outcome': core.Outcome.UNKNOWN.value},
+    )
+
+
+class FinalResponse:
+    """A response whose content is decided as its first byte is sent."""
+
+    def __init__(self, decide: Callable[[], responses.Response]) -> None:
+        self._decide = decide
+
+    async def __call__(
+        self,
+        scope: types.Scope,
+        receive: types.Receive,
+        send: types.Send,
+    ) -> None:
+        """Decide and send, with nothing that waits in between."""
+        await self._decide()(scope, receive, send)
--- /dev/null
+++ b/src/tidegrade/adapters/_logs.py
@@ -0,0 +1,84 @@
+"""Structured logs: JSON lines with numbered events."""
+
+import enum
+import logging
+import sys
+import typing
+
+from pythonjsonlogger import json as jsonlogger
+
+_LOGGER = logging.getLogger('tidegrade')
+
+
+class LogEvent(enum.Enum):
+    """Every event that is logged: its number, level and meaning.
+
+    A number never changes its meaning. docs/EVENTS.md explains each.
+    """
+
+    STARTED = (1001, logging.INFO, 'the proxy serves')
+    DRAINING = (1002, logging.INFO, 'the proxy takes no new work')
+    STOPPED = (1003, logging.INFO, 'the proxy has stopped')
+    DRAIN_CUT = (1004, logging.WARNING, 'the drain limit cut work')
+    INVARIANT_BROKEN = (1005, logging.CRITICAL, 'an invariant is broken')
+    REGISTERED = (1101, logging.INFO, 'supervisors know this proxy')
+    PLATFORM_LOST = (1102, logging.WARNING, 'the platform does not answer')
+    PLATFORM_BACK = (1103, logging.INFO, 'the platform answers again')
+    CONFIG_ADOPTED = (1201, logging.INFO, 'a configuration is in force')
+    CONFIG_WENT_BACK = (
+        1202,
+        logging.ERROR,
+        'the store shows an older configuration; the newer one stays',
+    )
+    CONFIG_REFUSED = (1203, logging.ERROR, 'a configuration is unusable')
+    CONFIG_APPLIED = (1204, logging.INFO, 'an operator applied a file')
+    CONFIG_CONFLICT = (1205, logging.INFO, 'another file was applied first')
+    TERM_SEEN = (1301, logging.INFO, 'a group has a new term')
+    TERM_ENDING = (1302, logging.WARNING, 'this proxy ends a term')
+    TERM_BEGUN = (1303, logging.WARNING, 'this proxy began a term')
+    ATTEMPT_ABANDONED = (1304, logging.WARNING, 'a change of term stopped')
+    ROW_MALFORMED = (1305, logging.ERROR, 'a group row is unreadable')
+    PEER_REFUSED = (1401, logging.WARNING, 'a peer is not genuine')
+    ENDPOINT_LEAVING = (1501, logging.INFO, 'endpoints are leaving')
+    CONNECT_FAILED = (1502, logging.WARNING, 'an endpoint was not reached')
+    REQUEST_FAILED = (1601, logging.ERROR, 'a request met a fault of ours')
+
+    @property
+    def number(self) -> int:
+        """Give the event's number."""
+        return self.value[0]
+
+    @property
+    def level(self) -> int:
+        """Give the level it is logged at."""
+        return self.value[1]
+
+    @property
+    def meaning(self) -> str:
+        """Say what has happened."""
+        return self.value[2]
+
+
+def configure(proxy_id: str, stream: typing.TextIO = sys.stderr) -> None:
+    """Send the logs of this process to a stream as JSON lines."""
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(
+        jsonlogger.JsonFormatter(
+            ['asctime', 'levelname', 'message'],
+            rename_fields={
+                'asctime': 'time',
+                'levelname': 'level',
+            },
+            static_fields={'proxy': proxy_id},
+        )
+    )
+    _LOGGER.handlers[:] = [handler]
+    _LOGGER.setLevel(logging.INFO)
+    _LOGGER.propagate = False
+
+
+def write(event: LogEvent, **fields: object) -> None:
+    """Log an event; the fields must not hold secrets."""
+    _LOGGER.log(
+        event.level, event.meaning, extra={'event': event.number, **fields}
+    )
--- /dev/null
+++ b/src/tidegrade/adapters/_metrics.py
@@ -0,0 +1,80 @@
+"""Metrics in the Prometheus text format, through aioprometheus."""
+
+import aioprometheus
+from aioprometheus import formats
+
+#: Bounds of the latency histograms, in seconds.
+LATENCY_BUCKETS = [
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+]
+
+
+class Metrics:
+    """The proxy's metrics; one object a process."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            'tidegrade_requests_total',
+            'Requests answered, by site, tenant, kind, outcome and code.',
+        )
+        self.reads = self._counter(
+            'tidegrade_reads_total',
+            'Reads answered, by site and the role of the endpoint.',
+        )
+        self.tenant_latency = self._histogram(
+            'tidegrade_tenant_latency_seconds',
+            'Time from a request to its answer, by tenant.',
+        )
+        self.class_latency = self._histogram(
+            'tidegrade_class_latency_seconds',
+            'Time from a request to its answer, by read class or kind.',
+        )
+        self.config_version = self._gauge(
+            'tidegrade_config_version', 'Configuration version in force.'
+        )
+        self.connections = self._gauge(
+            'tidegrade_endpoint_connections',
+            'Connections held, by site, group and endpoint.',
+        )
+        self.term = self._gauge('tidegrade_group_term', 'Term of each group.')
+        self.waiting = self._gauge(
+            'tidegrade_group_waiting',
+            'Requests that wait for a connection, by group.',
+        )
+        self.callers = self._gauge(
+            'tidegrade_requests_in_flight', 'Requests not yet answered.'
+        )
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Give the metrics page and its headers."""
+        content, headers = aioprometheus.render(
+            self.registry, [accept] if accept else []
+        )
+        return content, dict(headers)
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(name, doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            name, doc, registry=self.registry, buckets=LATENCY_BUCKETS
+        )
+
+
+#: Content type of the page, for those who ask without negotiation.
+TEXT_TYPE = formats.text.TEXT_CONTENT_TYPE
--- /dev/null
+++ b/src/tidegrade/adapters/_peer_messages.py
@@ -0,0 +1,299 @@
+"""Peer messages as attrs classes, to and from Cap'n Proto."""
+
+import typing
+
+import attrs
+import capnp  # type: ignore[import-untyped]
+import orjson
+
+from tidegrade.adapters import _results
+from tidegrade.adapters import _structure
+from tidegrade.adapters import _wire
+from tidegrade import core
+
+
+@attrs.frozen
+class GroupKey:
+    """Names a group across sites."""
+
+    site: str
+    group: str
+
+    def __str__(self) -> str:
+        return f'{self.site}/{self.group}'
+
+
+@attrs.frozen
+class GroupOpinion:
+    """What a proxy thinks of the primary of a group in a term."""
+
+    key: GroupKey
+    term: int
+    primary_down: bool
+
+
+@attrs.frozen
+class Heartbeat:
+    """A proxy is alive, and what it knows in short.
+
+    ``host`` and ``port`` are where it takes peers' connections.
+    """
+
+    proxy: str
+    domain: str
+    host: str
+    port: int
+    config_version: int
+    draining: bool
+    opinions: tuple[GroupOpinion, ...] = ()
+
+
+@attrs.frozen
+class GiveUp:
+    """Asks to give up permissions for terms below ``below``."""
+
+    key: GroupKey
+    below: int
+
+
+@attrs.frozen
+class GaveUp:
+    """Answers that ``proxy`` has given up permissions below ``below``."""
+
+    key: GroupKey
+    below: int
+    proxy: str
+
+
+@attrs.frozen
+class RowNews:
+    """A group's row, as JSON, that may be new to the other side."""
+
+    key: GroupKey
+    row: bytes
+
+
+@attrs.frozen
+class AskConfig:
+    """Asks for the configuration of this version."""
+
+    ref: core.ConfigRef
+
+
+@attrs.frozen
+class ConfigContent:
+    """A configuration's content; empty if the peer doesn't have it."""
+
+    ref: core.ConfigRef
+    document: bytes
+
+
+@attrs.frozen
+class Forward:
+    """A caller's step in a transaction that another proxy keeps.
+
+    ``time_left`` is in seconds.
+    """
+
+    key: GroupKey
+    tenant: str
+    kind: core.Kind
+    txn: str
+    statements: tuple[core.Statement, ...]
+    time_left: float
+
+
+@attrs.frozen
+class Forwarded:
+    """The answer to a forwarded step."""
+
+    answer: core.Answer
+
+
+PeerBody = (
+    Heartbeat
+    | GiveUp
+    | GaveUp
+    | RowNews
+    | AskConfig
+    | ConfigContent
+    | Forward
+    | Forwarded
+)
+
+
+@attrs.frozen
+class PeerMessage:
+    """A message; an answer bears the number of its question."""
+
+    body: PeerBody
+    number: int = 0
+
+
+class Malformed(Exception):
+    """A peer's message can't be read."""
+
+
+def encode(message: PeerMessage) -> bytes:
+    """Give a message's bytes."""
+    wire = _wire.PeerMessage.new_message(number=message.number)
+    _ENCODERS[type(message.body)](wire, message.body)
+    return wire.to_bytes()
+
+
+def decode(raw: bytes) -> PeerMessage:
+    """Read a message or raise :class:`Malformed`."""
+    try:
+        with _wire.read_peer_message(raw) as wire:
+            body = _DECODERS[str(wire.which())](wire)
+            return PeerMessage(body, wire.number)
+    except (capnp.KjException, ValueError, KeyError, TypeError) as exc:
+        raise Malformed(str(exc)) from None
+
+
+# Encoders -----------------------------------------------------------------
+
+
+def _put_heartbeat(wire: typing.Any, body: Heartbeat) -> None:
+    beat = wire.init('heartbeat')
+    beat.proxy = body.proxy
+    beat.domain = body.domain
+    beat.host = body.host
+    beat.port = body.port
+    beat.configVersion = body.config_version
+    beat.draining = body.draining
+    opinions = beat.init('opinions', len(body.opinions))
+    for slot, opinion in zip(opinions, body.opinions, strict=True):
+        slot.site = opinion.key.site
+        slot.group = opinion.key.group
+        slot.term = opinion.term
+        slot.primaryDown = opinion.primary_down
+
+
+def _put_give_up(wire: typing.Any, body: GiveUp) -> None:
+    bound = wire.init('giveUp')
+    bound.site = body.key.site
+    bound.group = body.key.group
+    bound.below = body.below
+
+
+def _put_gave_up(wire: typing.Any, body: GaveUp) -> None:
+    bound = wire.init('gaveUp')
+    bound.site = body.key.site
+    bound.group = body.key.group
+    bound.below = body.below
+    bound.proxy = body.proxy
+
+
+def _put_row(wire: typing.Any, body: RowNews) -> None:
+    news = wire.init('rowNews')
+    news.site = body.key.site
+    news.group = body.key.group
+    news.row = body.row
+
+
+def _put_ask_config(wire: typing.Any, body: AskConfig) -> None:
+    asked = wire.init('askConfig')
+    asked.version = body.ref.version
+    asked.sha256 = body.ref.sha256
+
+
+def _put_config(wire: typing.Any, body: ConfigContent) -> None:
+    content = wire.init('config')
+    content.version = body.ref.version
+    content.sha256 = body.ref.sha256
+    content.document = body.document
+
+
+def _put_forward(wire: typing.Any, body: Forward) -> None:
+    forward = wire.init('forward')
+    forward.site = body.key.site
+    forward.group = body.key.group
+    forward.tenant = body.tenant
+    forward.kind = body.kind.value
+    forward.txn = body.txn
+    forward.statements = orjson.dumps(
+        [[stmt.sql, list(stmt.params)] for stmt in body.statements]
+    )
+    forward.timeLeftMs = max(0, int(body.time_left * 1000))
+
+
+def _put_forwarded(wire: typing.Any, body: Forwarded) -> None:
+    plain = _structure.unstructure(body.answer)
+    wire.init('forwarded').answer = _results.to_json(plain)
+
+
+_ENCODERS: dict[type, typing.Callable[[typing.Any, typing.Any], None]] = {
+    Heartbeat: _put_heartbeat,
+    GiveUp: _put_give_up,
+    GaveUp: _put_gave_up,
+    RowNews: _put_row,
+    AskConfig: _put_ask_config,
+    ConfigContent: _put_config,
+    Forward: _put_forward,
+    Forwarded: _put_forwarded,
+}
+
+# Decoders -----------------------------------------------------------------
+
+
+def _key_of(part: typing.Any) -> GroupKey:
+    return GroupKey(part.site, part.group)
+
+
+def _get_heartbeat(wire: typing.Any) -> Heartbeat:
+    beat = wire.heartbeat
+    return Heartbeat(
+        proxy=beat.proxy,
+        domain=beat.domain,
+        host=beat.host,
+        port=beat.port,
+        config_version=beat.configVersion,
+        draining=beat.draining,
+        opinions=tuple(
+            GroupOpinion(_key_of(o), o.term, o.primaryDown)
+            for o in beat.opinions
+        ),
+    )
+
+
+def _get_forward(wire: typing.Any) -> Forward:
+    forward = wire.forward
+    statements = orjson.loads(forward.statements)
+    return Forward(
+        key=_key_of(forward),
+        tenant=forward.tenant,
+        kind=core.Kind(forward.kind),
+        txn=forward.txn,
+        statements=tuple(
+            core.Statement(sql, tuple(params)) for sql, params in statements
+        ),
+        time_left=forward.timeLeftMs / 1000,
+    )
+
+
+def _get_forwarded(wire: typing.Any) -> Forwarded:
+    read = _structure.structure(bytes(wire.forwarded.answer), core.Answer)
+    if read.is_err():
+        raise ValueError('; '.join(read.unwrap_err()))
+    return Forwarded(read.unwrap())
+
+
+def _ref_of(part: typing.Any) -> core.ConfigRef:
+    return core.ConfigRef(part.version, part.sha256)
+
+
+_DECODERS: dict[str, typing.Callable[[typing.Any], PeerBody]] = {
+    'heartbeat': _get_heartbeat,
+    'giveUp': lambda w: GiveUp(_key_of(w.giveUp), w.giveUp.below),
+    'gaveUp': lambda w: GaveUp(
+        _key_of(w.gaveUp), w.gaveUp.below, w.gaveUp.proxy
+    ),
+    'rowNews': lambda w: RowNews(_key_of(w.rowNews), bytes(w.rowNews.row)),
+    'askConfig': lambda w: AskConfig(_ref_of(w.askConfig)),
+    'config': lambda w: ConfigContent(
+        _ref_of(w.config), bytes(w.config.document)
+    ),
+    'forward': _get_forward,
+    'forwarded': _get_forwarded,
+}
--- /dev/null
+++ b/src/tidegrade/adapters/_peers.py
@@ -0,0 +1,270 @@
+"""Connections between proxies: one outgoing link to each peer."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import itertools
+import typing
+
+import anyio
+import anyio.abc
+import attrs
+
+from tidegrade.adapters import _frames
+from tidegrade.adapters import _logs
+from tidegrade.adapters import _peer_messages as messages
+
+#: Pause before a link is tried again, in seconds.
+RECONNECT_PAUSE = 0.2
+#: Time that connecting may take, in seconds.
+CONNECT_TIMEOUT = 1.0
+#: Messages that wait for a link; more are dropped, oldest kept.
+LINK_QUEUE = 256
+#: Connections that other proxies may hold to this one.
+MAX_INCOMING = 10_000
+
+_GONE = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+#: Takes a peer's message and gives the answer, if it wants one.
+Handler = Callable[[messages.PeerBody], Awaitable[messages.PeerBody | None]]
+
+
+@attrs.frozen
+class Address:
+    """Where a proxy takes its peers' connections."""
+
+    host: str
+    port: int
+
+
+class Link:
+    """An outgoing connection to one peer, made again when it breaks."""
+
+    def __init__(self, address: Address, key: bytes) -> None:
+        self._address = address
+        self._key = key
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, _Question] = {}
+        self.connected = False
+        self._send, self._receive = anyio.create_memory_object_stream[
+            messages.PeerMessage
+        ](LINK_QUEUE)
+        self._scope = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Keep the link up until it is closed."""
+        with self._scope:
+            while True:
+                with contextlib.suppress(*_GONE, TimeoutError):
+                    await self._connected()
+                self._lost()
+                await anyio.sleep(RECONNECT_PAUSE)
+
+    def close(self) -> None:
+        """End the link; questions on it end without an answer."""
+        self._lost()
+        self._scope.cancel()
+
+    def post(self, body: messages.PeerBody) -> bool:
+        """Send a message that wants no answer; tell if it was queued."""
+        return self._queue(messages.PeerMessage(body))
+
+    async def ask(self, body: messages.PeerBody, time_limit: float) -> 'Asked':
+        """Send a question and wait for its answer.
+
+        An answer that comes later is dropped, never given to another.
+        """
+        question = _Question()
+        number = next(self._numbers)
+        self._waiting[number] = question
+        try:
+            if not self._queue(messages.PeerMessage(body, number)):
+                return Asked(sent=False)
+            with anyio.move_on_after(time_limit):
+                await question.done.wait()
+            return Asked(sent=True, answer=question.answer)
+        finally:
+            self._waiting.pop(number, None)
+
+    def _queue(self, message: messages.PeerMessage) -> bool:
+        if not self.connected:
+            return False
+        try:
+            self._send.send_nowait(message)
+        except anyio.WouldBlock:
+            return False
+        return True
+
+    def _lost(self) -> None:
+        self.connected = False
+        for question in self._waiting.values():
+            question.done.set()
+        with contextlib.suppress(anyio.WouldBlock):
+            while True:
+                self._receive.receive_nowait()
+
+    async def _connected(self) -> None:
+        with anyio.fail_after(CONNECT_TIMEOUT):
+            stream = await anyio.connect_tcp(
+                self._address.host, self._address.port
+            )
+        async with stream:
+            with anyio.fail_after(CONNECT_TIMEOUT):
+                frames = await _frames.open_frames(
+                    stream, self._key, connects=True
+                )
+            self.connected = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write, frames, tasks.cancel_scope)
+                await self._read(frames)
+                tasks.cancel_scope.cancel()
+
+    async def _write(
+        self, frames: _frames.FrameStream, scope: anyio.CancelScope
+    ) -> None:
+        with contextlib.suppress(*_GONE):
+            while True:
+                message = await self._receive.receive()
+                await frames.send(messages.encode(message))
+        scope.cancel()
+
+    async def _read(self, frames: _frames.FrameStream) -> None:
+        try:
+            while True:
+                message = messages.decode(await frames.receive())
+                question = self._waiting.get(message.number)
+                if question is not None:
+                    question.answer = message.body
+                    question.done.set()
+        except (_frames.NotAPeer, messages.Malformed) as exc:
+            _logs.write(
+                _logs.LogEvent.PEER_REFUSED,
+                address=str(self._address),
+                reason=str(exc),
+            )
+        except _GONE:
+            pass
+
+
+@attrs.define
+class _Question:
+    """A question on a link and its answer once it has come."""
+
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    answer: messages.PeerBody | None = None
+
+
+@attrs.frozen
+class Asked:
+    """What became of a question; ``sent`` says it may have arrived."""
+
+    sent: bool
+    answer: messages.PeerBody | None = None
+
+
+class PeerServer:
+    """Takes the connections of other proxies."""
+
+    def __init__(self, address: Address, key: bytes, handler: Handler) -> None:
+        self._address = address
+        self._key = key
+        self._handler = handler
+        self._limit = anyio.CapacityLimiter(MAX_INCOMING)
+
+    async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._address.host, local_port=self._address.port
+        )
+        task_status.started()
+        await listener.serve(self._peer)
+
+    async def _peer(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream, self._limit:
+            try:
+                with anyio.fail_after(CONNECT_TIMEOUT):
+                    frames = await _frames.open_frames(
+                        stream, self._key, connects=False
+                    )
+                await self._converse(frames)
+            except (_frames.NotAPeer, messages.Malformed) as exc:
+                _logs.write(_logs.LogEvent.PEER_REFUSED, reason=str(exc))
+            except (*_GONE, TimeoutError):
+                pass
+
+    async def _converse(self, frames: _frames.FrameStream) -> None:
+        async with anyio.create_task_group() as tasks:
+            try:
+                while True:
+                    message = messages.decode(await frames.receive())
+                    if message.number:
+                        tasks.start_soon(self._answer, frames, message)
+                    else:
+                        await self._handler(message.body)
+            except _GONE:
+                tasks.cancel_scope.cancel()
+
+    async def _answer(
+        self, frames: _frames.FrameStream, message: messages.PeerMessage
+    ) -> None:
+        body = await self._handler(message.body)
+        if body is None:
+            return
+        with contextlib.suppress(*_GONE):
+            await frames.send(
+                messages.encode(messages.PeerMessage(body, message.number))
+            )
+
+
+class Links:
+    """The links of this proxy, by address."""
+
+    def __init__(self, key: bytes, own: Address) -> None:
+        self._key = key
+        self._own = own
+        self._links: dict[Address, Link] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Run every link until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            task_status.started()
+            await anyio.sleep_forever()
+
+    def ensure(self, address: Address) -> None:
+        """Have a link to an address, unless it is our own."""
+        if address == self._own or address in self._links:
+            return
+        assert self._tasks is not None
+        link = Link(address, self._key)
+        self._links[address] = link
+        self._tasks.start_soon(link.run)
+
+    def drop(self, address: Address) -> None:
+        """Close the link to an address that nobody uses any more."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.close()
+
+    def addresses(self) -> list[Address]:
+        """Give the addresses that have links."""
+        return list(self._links)
+
+    def broadcast(self, body: messages.PeerBody) -> None:
+        """Send a message on every link."""
+        for link in self._links.values():
+            link.post(body)
+
+    def link(self, address: Address) -> Link | None:
+        """Give the link to an address."""
+        return self._links.get(address)
+
+    def __iter__(self) -> typing.Iterator[Link]:
+        return iter(list(self._links.values()))
--- /dev/null
+++ b/src/tidegrade/adapters/_platform.py
@@ -0,0 +1,149 @@
+"""The platform over HTTP with conditional requests (RFC 9110)."""
+
+import ssl
+import typing
+
+import attrs
+import httpx
+import result
+
+from tidegrade import ports
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Where the platform is and how long it may take, in seconds.
+
+    ``ca_file`` holds the certificates that sign the platform's.
+    """
+
+    url: str
+    timeout_s: float = 1.0
+    ca_file: str = ''
+
+
+class HttpPlatform:
+    """Table, object store and VM list behind one address."""
+
+    def __init__(self, cfg: PlatformSettings, proxy_id: str) -> None:
+        verify: ssl.SSLContext | bool = True
+        if cfg.ca_file:
+            verify = ssl.create_default_context(cafile=cfg.ca_file)
+        self._client = httpx.AsyncClient(
+            base_url=cfg.url,
+            timeout=cfg.timeout_s,
+            headers={'User-Agent': f'tidegrade/{proxy_id}'},
+            verify=verify,
+            trust_env=False,
+        )
+
+    async def aclose(self) -> None:
+        """Close the connections to the platform."""
+        await self._client.aclose()
+
+    # Table ----------------------------------------------------------------
+
+    async def read(
+        self, key: str
+    ) -> result.Result[ports.Versioned | None, str]:
+        """Give a row, None if there is none, or why it can't be read."""
+        answer = await self._ask('GET', f'/table/{key}')
+        if answer.is_err():
+            return result.Err(answer.unwrap_err())
+        res = answer.unwrap()
+        if res.status_code == httpx.codes.NOT_FOUND:
+            return result.Ok(None)
+        tag = res.headers.get('etag')
+        if res.is_success and tag:
+            return result.Ok(ports.Versioned(res.content, tag))
+        return result.Err(f'reading a row gave status {res.status_code}')
+
+    async def write(
+        self, key: str, value: bytes, expected: str | None
+    ) -> result.Result[str, ports.WriteProblem]:
+        """Write a row if its tag is ``expected`` (None: it is absent)."""
+        headers = {'If-None-Match': '*'}
+        if expected is not None:
+            headers = {'If-Match': expected}
+        answer = await self._ask(
+            'PUT', f'/table/{key}', content=value, headers=headers
+        )
+        if answer.is_err():
+            return result.Err(ports.WriteProblem.UNKNOWN)
+        res = answer.unwrap()
+        if res.status_code == httpx.codes.PRECONDITION_FAILED:
+            return result.Err(ports.WriteProblem.CONFLICT)
+        tag = res.headers.get('etag')
+        if res.is_success and tag:
+            return result.Ok(tag)
+        return result.Err(ports.WriteProblem.UNKNOWN)
+
+    async def delete(self, key: str) -> result.Result[None, str]:
+        """Delete a row if it is there."""
+        answer = await self._ask('DELETE', f'/table/{key}')
+        return _nothing(answer)
+
+    async def keys(self, prefix: str) -> result.Result[list[str], str]:
+        """Give the keys that begin with ``prefix``."""
+        answer = await self._ask('GET', '/table', params={'prefix': prefix})
+        if answer.is_err():
+            return result.Err(answer.unwrap_err())
+        res = answer.unwrap()
+        if not res.is_success:
+            return result.Err(f'listing gave status {res.status_code}')
+        return result.Ok(list(res.json()))
+
+    # Object store ---------------------------------------------------------
+
+    async def get(self, name: str) -> result.Result[bytes | None, str]:
+        """Give an object, or None if there is none."""
+        answer = await self._ask('GET', f'/objects/{name}')
+        if answer.is_err():
+            return result.Err(answer.unwrap_err())
+        res = answer.unwrap()
+        if res.status_code == httpx.codes.NOT_FOUND:
+            return result.Ok(None)
+        if res.is_success:
+            return result.Ok(res.content)
+        return result.Err(f'an object gave status {res.status_code}')
+
+    async def put(self, name: str, content: bytes) -> result.Result[None, str]:
+        """Store an object; storing the same again does no harm."""
+        return _nothing(
+            await self._ask('PUT', f'/objects/{name}', content=content)
+        )
+
+    # VM list --------------------------------------------------------------
+
+    async def vms(self) -> result.Result[list[ports.Vm], str]:
+        """Give the VM list."""
+        answer = await self._ask('GET', '/vms')
+        if answer.is_err():
+            return result.Err(answer.unwrap_err())
+        res = answer.unwrap()
+        if not res.is_success:
+            return result.Err(f'the VM list gave status {res.status_code}')
+        try:
+            return result.Ok([ports.Vm(**entry) for entry in res.json()])
+        except (TypeError, ValueError) as exc:
+            return result.Err(f'the VM list is malformed: {exc}')
+
+    async def _ask(
+        self, method: str, path: str, **options: typing.Any
+    ) -> result.Result[httpx.Response, str]:
+        try:
+            res = await self._client.request(method, path, **options)
+        except httpx.HTTPError as exc:
+            return result.Err(f'{type(exc).__name__}: {exc}')
+        return result.Ok(res)
+
+
+def _nothing(
+    answer: result.Result[httpx.Response, str],
+) -> result.Result[None, str]:
+    if answer.is_err():
+        return result.Err(answer.unwrap_err())
+    res = answer.unwrap()
+    if res.is_success:
+        return result.Ok(None)
+    return result.Err(f'the platform gave status {res.status_code}')
--- /dev/null
+++ b/src/tidegrade/adapters/_rows.py
@@ -0,0 +1,37 @@
+"""The platform's rows as JSON."""
+
+import cattrs
+import orjson
+import result
+
+from tidegrade import core
+
+_converter = cattrs.Converter()
+
+
+def row_key(site: str, group: str) -> str:
+    """Give the key of a group's row."""
+    return f'groups/{site}/{group}'
+
+
+#: Prefix of the keys under which proxies register.
+HOLDERS = 'proxies/'
+#: Key of the row that points to the accepted configuration.
+CONFIG = 'config'
+
+
+def encode_row(row: core.GroupRow) -> bytes:
+    """Give a group's row as JSON."""
+    plain = _converter.unstructure(row)
+    plain['members'] = sorted(plain['members'])
+    return orjson.dumps(plain)
+
+
+def decode_row(value: bytes) -> result.Result[core.GroupRow, str]:
+    """Read a group's row."""
+    try:
+        return result.Ok(
+            _converter.structure(orjson.loads(value), core.GroupRow)
+        )
+    except (ValueError, cattrs.BaseValidationError) as exc:
+        return result.Err(f'a group row is malformed: {exc}')
--- /dev/null
+++ b/src/tidegrade/adapters/_wire.py
@@ -0,0 +1,75 @@
+"""Cap'n Proto encoding of peer messages and session tokens."""
+
+import base64
+import binascii
+import contextlib
+import pathlib
+import typing
+
+import capnp  # type: ignore[import-untyped]
+import result
+
+from tidegrade import core
+
+#: Longest session token taken from a caller, in characters.
+MAX_TOKEN = 4096
+#: Words that reading one message may traverse, against hostile input.
+TRAVERSAL_LIMIT = 4_000_000
+
+_SCHEMA = capnp.load(
+    str(pathlib.Path(__file__).with_name('wire.capnp')), imports=[]
+)
+
+PeerMessage = _SCHEMA.PeerMessage
+
+
+def encode_token(token: core.SessionToken) -> str:
+    """Give the token as text for a header."""
+    message = _SCHEMA.SessionToken.new_message(
+        site=token.site, configVersion=token.config_version
+    )
+    positions = message.init('positions', len(token.positions))
+    for slot, (group, seen) in zip(
+        positions, sorted(token.positions.items()), strict=True
+    ):
+        slot.group = group
+        slot.term = seen.term
+        slot.lsn = seen.lsn
+    return base64.urlsafe_b64encode(message.to_bytes_packed()).decode()
+
+
+def decode_token(text: str) -> result.Result[core.SessionToken, str]:
+    """Read a token; anything malformed is an error, never a guess."""
+    if len(text) > MAX_TOKEN:
+        return result.Err(f'a session token has up to {MAX_TOKEN} characters')
+    try:
+        raw = base64.b64decode(text, altchars=b'-_', validate=True)
+        message = _SCHEMA.SessionToken.from_bytes_packed(
+            raw, traversal_limit_in_words=TRAVERSAL_LIMIT
+        )
+        return result.Ok(_token_of(message))
+    except (binascii.Error, ValueError, capnp.KjException):
+        return result.Err('the session token is malformed')
+
+
+def _token_of(message: typing.Any) -> core.SessionToken:
+    return core.SessionToken(
+        site=message.site,
+        config_version=message.configVersion,
+        positions={
+            seen.group: core.Position(seen.term, seen.lsn)
+            for seen in message.positions
+        },
+    )
+
+
+def read_peer_message(
+    raw: bytes,
+) -> contextlib.AbstractContextManager[typing.Any]:
+    """Give a message for the time of a ``with`` block.
+
+    Raises ``capnp.KjException`` if it is malformed.
+    """
+    return PeerMessage.from_bytes(
+        raw, traversal_limit_in_words=TRAVERSAL_LIMIT
+    )
--- /dev/null
+++ b/src/tidegrade/adapters/wire.capnp
@@ -0,0 +1,80 @@
+@0xd6b1a9c3f04e7725;
+# Messages between proxies, and the session token that callers carry.
+
+struct GroupPosition {
+  group @0 :Text;
+  term @1 :UInt64;
+  lsn @2 :UInt64;
+}
+
+struct SessionToken {
+  site @0 :Text;
+  configVersion @1 :UInt64;
+  positions @2 :List(GroupPosition);
+}
+
+struct GroupOpinion {
+  site @0 :Text;
+  group @1 :Text;
+  term @2 :UInt64;
+  primaryDown @3 :Bool;
+}
+
+struct Heartbeat {
+  proxy @0 :Text;
+  domain @1 :Text;
+  configVersion @2 :UInt64;
+  draining @3 :Bool;
+  opinions @4 :List(GroupOpinion);
+  host @5 :Text;         # where this proxy takes peers' connections
+  port @6 :UInt16;
+}
+
+struct TermBound {
+  # Asks to give up, or says to have given up, permissions below a term.
+  site @0 :Text;
+  group @1 :Text;
+  below @2 :UInt64;
+  proxy @3 :Text;        # who answers; empty in a question
+}
+
+struct RowNews {
+  site @0 :Text;
+  group @1 :Text;
+  row @2 :Data;          # JSON, as in the platform's table
+}
+
+struct ConfigContent {
+  version @0 :UInt64;
+  sha256 @1 :Text;
+  document @2 :Data;     # empty in a question
+}
+
+struct Forward {
+  # A caller's step in an interactive transaction of another proxy.
+  site @0 :Text;
+  group @1 :Text;
+  tenant @2 :Text;
+  kind @3 :Text;
+  txn @4 :Text;
+  statements @5 :Data;   # JSON: [[sql, [param, ...]], ...]
+  timeLeftMs @6 :UInt32;
+}
+
+struct Forwarded {
+  answer @0 :Data;       # JSON
+}
+
+struct PeerMessage {
+  number @0 :UInt64;     # an answer bears the number of its question
+  union {
+    heartbeat @1 :Heartbeat;
+    giveUp @2 :TermBound;
+    gaveUp @3 :TermBound;
+    rowNews @4 :RowNews;
+    askConfig @5 :ConfigContent;
+    config @6 :ConfigContent;
+    forward @7 :Forward;
+    forwarded @8 :Forwarded;
+  }
+}
--- /dev/null
+++ b/src/tidegrade/daemon/_conn_task.py
@@ -0,0 +1,89 @@
+"""The task that owns one connection to an endpoint."""
+
+from collections.abc import Callable
+import contextlib
+
+import anyio
+
+from tidegrade.adapters import _logs
+from tidegrade import config
+from tidegrade import core
+from tidegrade import ports
+
+
+class ConnTask:
+    """Opens a connection, runs its jobs one by one, and closes it.
+
+    It tells its group what happens by events and is told what to do by
+    messages; nothing else touches the connection.
+    """
+
+    def __init__(
+        self,
+        conn_id: int,
+        endpoints: ports.Endpoints,
+        endpoint: config.Endpoint,
+        group: config.Group,
+        post: Callable[[core.Event], None],
+    ) -> None:
+        self._id = conn_id
+        self._endpoints = endpoints
+        self._endpoint = endpoint
+        self._group = group
+        self._post = post
+        self._conn: ports.EndpointConn | None = None
+        self._closing = False
+        self._scope = anyio.CancelScope()
+        self._send, self._jobs = anyio.create_memory_object_stream[core.Job](1)
+
+    async def run(self) -> None:
+        """Run until the connection has ended."""
+        refused = False
+        with self._scope:
+            opened = await self._endpoints.connect(self._endpoint, self._group)
+            if opened.is_ok():
+                self._conn = opened.unwrap()
+                self._post(core.ConnOpened(self._id))
+                await self._serve(self._conn)
+            else:
+                refused = self._refused(opened.unwrap_err())
+        if self._conn is not None:
+            with anyio.CancelScope(shield=True):
+                await self._conn.close()
+        self._send.close()
+        self._jobs.close()
+        self._post(core.ConnClosed(self._id, refused))
+
+    def start(self, job: core.Job) -> None:
+        """Run a job; the one before it must have ended."""
+        with contextlib.suppress(anyio.ClosedResourceError):
+            self._send.send_nowait(job)
+
+    def stop(self) -> None:
+        """End the connection at once, whatever it is doing."""
+        self._closing = True
+        if self._conn is None:
+            self._scope.cancel()
+        else:
+            self._conn.abort()
+            self._send.close()
+
+    async def _serve(self, conn: ports.EndpointConn) -> None:
+        async for job in self._jobs:
+            outcome = await conn.run(job)
+            self._post(core.JobEnded(self._id, outcome))
+            if self._closing or _ended(outcome):
+                return
+
+    def _refused(self, problem: ports.ConnectProblem) -> bool:
+        _logs.write(
+            _logs.LogEvent.CONNECT_FAILED,
+            host=self._endpoint.host,
+            port=self._endpoint.port,
+            reason=problem.detail,
+        )
+        return problem.refused
+
+
+def _ended(outcome: core.JobOutcome) -> bool:
+    return isinstance(outcome, core.JobFailed) and not outcome.usable
--- /dev/null
+++ b/src/tidegrade/daemon/_group_task.py
@@ -0,0 +1,278 @@
+"""The task that drives the decisions for one group and carries them out."""
+
+from collections.abc import Callable
+import contextlib
+import math
+import random
+
+import anyio
+import anyio.abc
+import attrs
+
+from tidegrade.adapters import _logs
+from tidegrade.adapters import _peer_messages as messages
+from tidegrade.adapters import _rows
+from tidegrade import config
+from tidegrade import core
+from tidegrade.core import supervision
+from tidegrade.daemon import _conn_task
+from tidegrade.daemon import _deps
+from tidegrade.daemon import _peers_task
+from tidegrade.daemon import _row_task
+
+#: Longest and shortest pause between ticks, in seconds.
+TICK = 0.02
+MIN_TICK = 0.001
+#: Pause between observations for the supervisor, in seconds.
+OBSERVE_INTERVAL = 0.05
+
+_NOTES = {
+    'term_ending': _logs.LogEvent.TERM_ENDING,
+    'term_begun': _logs.LogEvent.TERM_BEGUN,
+    'attempt_abandoned': _logs.LogEvent.ATTEMPT_ABANDONED,
+}
+
+
+@attrs.define
+class _Waiter:
+    """A request that waits for its answer."""
+
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    answer: core.Answer | None = None
+
+
+class GroupTask:
+    """Owns a group's machine, supervisor and connections."""
+
+    def __init__(
+        self,
+        key: messages.GroupKey,
+        cfg: config.Group,
+        max_proxies: int,
+        deps: _deps.Deps,
+        peers: '_peers_task.PeersTask',
+    ) -> None:
+        self.key = key
+        self._deps = deps
+        self._peers = peers
+        self._config_version = 0
+        settings = core.MachineSettings(
+            deps.proxy_id, deps.cfg.domain, max_proxies
+        )
+        rng = random.Random(deps.rng.getrandbits(64))
+        self.machine = core.GroupMachine(
+            cfg, settings, core.SessionReplica(), rng
+        )
+        self._supervisor = core.Supervisor(str(key), deps.proxy_id, rng)
+        self._conns: dict[int, _conn_task.ConnTask] = {}
+        self._waiters: dict[int, _Waiter] = {}
+        self._send, self._inbox = anyio.create_memory_object_stream[
+            core.Event | supervision.SupervisorEvent
+        ](math.inf)
+        self._rows = _row_task.RowTask(
+            _rows.row_key(key.site, key.group), deps.table, self.post
+        )
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._next_observation = 0.0
+        self._orders: dict[type, Callable[..., None]] = {
+            core.OpenConn: self._open_conn,
+            core.CloseConn: self._close_conn,
+            core.RunJob: self._run_job,
+            core.Reply: self._reply,
+            core.FetchRow: lambda _: self._rows.fetch(),
+            core.ControlEnded: self._control_ended,
+            supervision.ReadRow: self._rows.order,
+            supervision.WriteRow: self._rows.order,
+            supervision.ListHolders: self._rows.order,
+            supervision.RunControl: self._run_control,
+            supervision.AskGiveUp: self._ask_give_up,
+            supervision.Announce: self._announce,
+            supervision.Note: self._note,
+        }
+
+    # Messages from other tasks --------------------------------------------
+
+    def post(self, event: core.Event | supervision.SupervisorEvent) -> None:
+        """Have an event handled in turn."""
+        with contextlib.suppress(anyio.ClosedResourceError):
+            self._send.send_nowait(event)
+
+    async def request(self, req: core.Request) -> core.Answer:
+        """Have a request served and wait for its one answer."""
+        waiter = _Waiter()
+        self._waiters[req.id] = waiter
+        self.post(core.RequestArrived(req))
+        try:
+            await waiter.done.wait()
+        except anyio.get_cancelled_exc_class():
+            self.post(core.RequestDropped(req.id))
+            raise
+        finally:
+            self._waiters.pop(req.id, None)
+        assert waiter.answer is not None
+        return waiter.answer
+
+    def give_up(self, below: int) -> None:
+        """Give up permissions at once; nothing is acknowledged after."""
+        self._handle(core.GiveUp(below))
+
+    def may_acknowledge(self, term: int) -> bool:
+        """Tell, at this very moment, if a write of ``term`` may be."""
+        row = self.machine.row
+        if row is None or row.term != term:
+            return False
+        return self.machine.may_acknowledge(self._deps.clock.now())
+
+    def set_config(
+        self, cfg: config.Group, version: int, max_proxies: int
+    ) -> None:
+        """Put a newer configuration of the group in force."""
+        self._config_version = version
+        self.post(core.ConfigChanged(cfg, max_proxies))
+
+    def opinion(self) -> messages.GroupOpinion:
+        """Give what this proxy thinks of the group's primary."""
+        own = self._own_opinion(self._deps.clock.now())
+        return messages.GroupOpinion(self.key, own.term, own.primary_down)
+
+    def stop(self) -> None:
+        """End the task and every connection it has."""
+        if self._tasks is not None:
+            self._tasks.cancel_scope.cancel()
+
+    # The loop -------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Run until stopped."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._rows.run)
+            tasks.start_soon(self._tick)
+            async for event in self._inbox:
+                self._handle(event)
+
+    async def _tick(self) -> None:
+        while True:
+            wait = self.machine.next_wake() - self._deps.clock.now()
+            await anyio.sleep(min(max(wait, MIN_TICK), TICK))
+            self._handle(core.Tick())
+            self._observe()
+
+    def _handle(self, event: core.Event | supervision.SupervisorEvent) -> None:
+        now = self._deps.clock.now()
+        if isinstance(event, supervision.SupervisorEvent):
+            for order in self._supervisor.handle(event, now):
+                self._orders[type(order)](order)
+            return
+        for command in self.machine.handle(event, now):
+            self._orders[type(command)](command)
+
+    def _observe(self) -> None:
+        now = self._deps.clock.now()
+        if now < self._next_observation:
+            return
+        self._next_observation = now + OBSERVE_INTERVAL
+        cfg = self.machine.cfg
+        leaving = (n for n in cfg.endpoints if self.machine.leaving(n))
+        self._handle(
+            supervision.Observed(
+                cfg=cfg,
+                config_version=self._config_version,
+                row=self.machine.row,
+                own=self._own_opinion(now),
+                opinions=self._peers.opinions(self.key),
+                peers=self._peers.alive_ids(),
+                leaving=frozenset(leaving),
+            )
+        )
+
+    def _own_opinion(self, now: float) -> core.Opinion:
+        row = self.machine.row
+        proxy = self._deps.proxy_id
+        if row is None or row.primary not in self.machine.views:
+            return core.Opinion(proxy, 0, False)
+        view = self.machine.views[row.primary]
+        down = core.is_down(view, self.machine.cfg, now)
+        return core.Opinion(proxy, row.term, down)
+
+    # Commands of the group machine ----------------------------------------
+
+    def _open_conn(self, command: core.OpenConn) -> None:
+        cfg = self.machine.cfg
+        conn = _conn_task.ConnTask(
+            command.conn,
+            self._deps.endpoints,
+            cfg.endpoints[command.endpoint],
+            cfg,
+            self.post,
+        )
+        self._conns[command.conn] = conn
+        assert self._tasks is not None
+        self._tasks.start_soon(self._run_conn, command.conn, conn)
+
+    async def _run_conn(self, conn_id: int, conn: _conn_task.ConnTask) -> None:
+        try:
+            await conn.run()
+        finally:
+            self._conns.pop(conn_id, None)
+
+    def _close_conn(self, command: core.CloseConn) -> None:
+        conn = self._conns.get(command.conn)
+        if conn is not None:
+            conn.stop()
+
+    def _run_job(self, command: core.RunJob) -> None:
+        conn = self._conns.get(command.conn)
+        if conn is not None:
+            conn.start(command.job)
+
+    def _reply(self, command: core.Reply) -> None:
+        waiter = self._waiters.get(command.req_id)
+        if waiter is not None:
+            core.invariant(
+                waiter.answer is None, 'a caller was answered twice'
+            )
+            waiter.answer = command.answer
+            waiter.done.set()
+
+    def _control_ended(self, command: core.ControlEnded) -> None:
+        self.post(
+            supervision.ControlEnded(
+                command.control, command.endpoint, command.outcome
+            )
+        )
+
+    # Commands of the supervisor -------------------------------------------
+
+    def _run_control(self, order: supervision.RunControl) -> None:
+        self.post(
+            core.ControlAsked(
+                order.control, order.endpoint, order.job, order.deadline
+            )
+        )
+
+    def _ask_give_up(self, order: supervision.AskGiveUp) -> None:
+        for proxy in order.proxies:
+            if proxy == self._deps.proxy_id:
+                self.give_up(order.below)
+                self.post(supervision.GaveUp(proxy, order.below))
+                continue
+            assert self._tasks is not None
+            self._tasks.start_soon(self._ask_peer, proxy, order.below)
+
+    async def _ask_peer(self, proxy: str, below: int) -> None:
+        question = messages.GiveUp(self.key, below)
+        answer = await self._peers.ask(proxy, question)
+        if isinstance(answer, messages.GaveUp):
+            self.post(supervision.GaveUp(answer.proxy, answer.below))
+
+    def _announce(self, order: supervision.Announce) -> None:
+        self.post(core.RowSeen(order.row))
+        self._peers.broadcast(
+            messages.RowNews(self.key, _rows.encode_row(order.row))
+        )
+
+    def _note(self, order: supervision.Note) -> None:
+        _logs.write(
+            _NOTES[order.event], group=str(self.key), detail=order.detail
+        )
--- /dev/null
+++ b/src/tidegrade/daemon/_proxy.py
@@ -0,0 +1,355 @@
+"""Wires a proxy from its settings and runs it to its end."""
+
+import contextlib
+import os
+import random
+import signal
+
+import anyio
+import anyio.abc
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+import uvicorn
+
+from tidegrade.adapters import _clock
+from tidegrade.adapters import _http_callers
+from tidegrade.adapters import _http_common
+from tidegrade.adapters import _http_operators
+from tidegrade.adapters import _logs
+from tidegrade.adapters import _metrics
+from tidegrade.adapters import _peer_messages as messages
+from tidegrade.adapters import _platform
+from tidegrade.adapters import _postgres
+from tidegrade.adapters import _rows
+from tidegrade import core
+from tidegrade.daemon import _admin
+from tidegrade.daemon import _config_task
+from tidegrade.daemon import _deps
+from tidegrade.daemon import _group_task
+from tidegrade.daemon import _peers_task
+from tidegrade.daemon import _registration
+from tidegrade.daemon import _service
+from tidegrade.daemon import _settings
+from tidegrade import ports
+
+#: Pause between looks whether a drain is finished, in seconds.
+DRAIN_LOOK = 0.02
+#: Time that the balancer gets to notice that this proxy isn't ready.
+UNREADY_TIME = 0.2
+#: Pause between updates of gauges, in seconds.
+GAUGE_INTERVAL = 1.0
+
+
+class _Server(uvicorn.Server):
+    """The HTTP server; signals are handled by the proxy instead."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave signals alone."""
+        yield
+
+
+class Proxy:
+    """One run of the daemon."""
+
+    def __init__(self, cfg: _settings.ProxySettings) -> None:
+        self._cfg = cfg
+        rng = random.Random(os.urandom(16))
+        proxy_id = f'{cfg.name}.{rng.getrandbits(48):012x}'
+        self._platform = _platform.HttpPlatform(cfg.platform, cfg.name)
+        self._deps = _deps.Deps(
+            cfg=cfg,
+            proxy_id=proxy_id,
+            clock=_clock.BootClock(),
+            endpoints=_postgres.PostgresEndpoints(cfg.postgres, cfg.name),
+            table=self._platform,
+            objects=self._platform,
+            vm_list=self._platform,
+            metrics=_metrics.Metrics(),
+            rng=rng,
+        )
+        self._peers = _peers_task.PeersTask(self._deps, self._peer_says)
+        self._peers.beat_of = self._heartbeat
+        self._service = _service.Service(self._deps, self._peers)
+        self._configs = _config_task.ConfigTask(
+            self._deps, self._peers, self._adopt
+        )
+        self._registration = _registration.Registration(
+            self._deps, self._registered
+        )
+        self._admin = _admin.Admin(
+            self._deps,
+            self._peers,
+            self._configs,
+            self._service,
+            self._start_drain,
+        )
+        self._is_registered = False
+        self._leaving: frozenset[tuple[str, int]] = frozenset()
+        self._drain = anyio.Event()
+        self._server = _Server(self._server_config())
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    # Life -----------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Serve until a signal or an operator asks to drain."""
+        _logs.configure(self._deps.proxy_id)
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await tasks.start(self._peers.run)
+            tasks.start_soon(self._configs.run)
+            tasks.start_soon(self._registration.run)
+            tasks.start_soon(self._watch_vms)
+            tasks.start_soon(self._watch_signals)
+            tasks.start_soon(self._update_gauges)
+            tasks.start_soon(self._server.serve)
+            _logs.write(_logs.LogEvent.STARTED)
+            await self._drain.wait()
+            await self._drained()
+            tasks.cancel_scope.cancel()
+        await self._platform.aclose()
+        _logs.write(_logs.LogEvent.STOPPED)
+
+    def _start_drain(self) -> None:
+        self._admin.draining = True
+        self._drain.set()
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                if self._drain.is_set():
+                    # A second signal ends the wait.
+                    os._exit(1)
+                self._start_drain()
+
+    async def _drained(self) -> None:
+        """Finish what is in flight, then hand back what is held."""
+        _logs.write(_logs.LogEvent.DRAINING)
+        for group in self._service.groups.values():
+            group.post(core.DrainStarted())
+        with anyio.move_on_after(self._cfg.drain_limit_s) as scope:
+            await anyio.sleep(UNREADY_TIME)
+            while self._busy():
+                await anyio.sleep(DRAIN_LOOK)
+        if scope.cancelled_caught:
+            _logs.write(
+                _logs.LogEvent.DRAIN_CUT, in_flight=self._service.in_flight
+            )
+        self._server.should_exit = True
+        while self._server.started and self._server.servers:
+            if not any(s.is_serving() for s in self._server.servers):
+                break
+            await anyio.sleep(DRAIN_LOOK)
+        for group in self._service.groups.values():
+            group.give_up(2**62)
+        with anyio.move_on_after(self._cfg.platform.timeout_s):
+            await self._registration.withdraw()
+
+    def _busy(self) -> bool:
+        if self._service.in_flight:
+            return True
+        groups = self._service.groups.values()
+        return any(group.machine.in_use() for group in groups)
+
+    # Configuration and membership -----------------------------------------
+
+    def _adopt(self, held: _config_task.InForce) -> None:
+        service = self._service
+        service.doc = held.doc
+        service.version = held.ref.version
+        wanted = {
+            messages.GroupKey(site_name, group_name): group
+            for site_name, site in held.doc.sites.items()
+            for group_name, group in site.groups.items()
+        }
+        for key in list(service.groups):
+            if key not in wanted:
+                service.groups.pop(key).stop()
+        for key, group in wanted.items():
+            if key not in service.groups:
+                self._start_group(key, group, held.doc.max_proxies)
+            service.groups[key].set_config(
+                group, held.ref.version, held.doc.max_proxies
+            )
+        self._tell_leaving()
+
+    def _start_group(self, key, group, max_proxies: int) -> None:
+        task = _group_task.GroupTask(
+            key, group, max_proxies, self._deps, self._peers
+        )
+        self._service.groups[key] = task
+        assert self._tasks is not None
+        self._tasks.start_soon(task.run)
+        if self._is_registered:
+            task.post(core.Registered(True))
+
+    def _registered(self) -> None:
+        self._is_registered = True
+        for group in self._service.groups.values():
+            group.post(core.Registered(True))
+
+    async def _watch_vms(self) -> None:
+        while True:
+            listed = await self._deps.vm_list.vms()
+            if listed.is_ok():
+                self._learn_vms(listed.unwrap())
+            await anyio.sleep(self._cfg.vm_poll_s)
+
+    def _learn_vms(self, vms: list[ports.Vm]) -> None:
+        self._peers.learn_vms(vms)
+        leaving = frozenset(
+            (vm.host, vm.port)
+            for vm in vms
+            if vm.role == 'endpoint' and vm.leaving
+        )
+        if leaving != self._leaving:
+            self._leaving = leaving
+            _logs.write(
+                _logs.LogEvent.ENDPOINT_LEAVING,
+                endpoints=[f'{host}:{port}' for host, port in leaving],
+            )
+            self._tell_leaving()
+
+    def _tell_leaving(self) -> None:
+        for group in self._service.groups.values():
+            names = frozenset(
+                name
+                for name, endpoint in group.machine.cfg.endpoints.items()
+                if (endpoint.host, endpoint.port) in self._leaving
+            )
+            group.post(core.LeavingChanged(names))
+
+    # Peers ----------------------------------------------------------------
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            proxy=self._deps.proxy_id,
+            domain=self._cfg.domain,
+            host=self._cfg.peers.host,
+            port=self._cfg.peers.port,
+            config_version=self._service.version,
+            draining=self._admin.draining,
+            opinions=tuple(
+                group.opinion() for group in self._service.groups.values()
+            ),
+        )
+
+    async def _peer_says(
+        self, body: messages.PeerBody
+    ) -> messages.PeerBody | None:
+        if isinstance(body, messages.Heartbeat):
+            self._peers.heard(body)
+            self._configs.heard(body.config_version)
+        elif isinstance(body, messages.GiveUp):
+            return self._give_up(body)
+        elif isinstance(body, messages.RowNews):
+            self._row_news(body)
+        elif isinstance(body, messages.AskConfig):
+            return self._configs.answer(body)
+        elif isinstance(body, messages.Forward):
+            answer = await self._service.forwarded(body)
+            return messages.Forwarded(answer)
+        return None
+
+    def _give_up(self, body: messages.GiveUp) -> messages.GaveUp | None:
+        group = self._service.groups.get(body.key)
+        if group is not None:
+            group.give_up(body.below)
+            return messages.GaveUp(body.key, body.below, self._deps.proxy_id)
+        # Without the group there is no permission, but it may come.
+        return None
+
+    def _row_news(self, body: messages.RowNews) -> None:
+        group = self._service.groups.get(body.key)
+        row = _rows.decode_row(body.row)
+        if group is not None and row.is_ok():
+            group.post(core.RowSeen(row.unwrap()))
+
+    # HTTP -----------------------------------------------------------------
+
+    def _server_config(self) -> uvicorn.Config:
+        cfg = self._cfg.http
+        return uvicorn.Config(
+            self._app(),
+            host=cfg.host,
+            port=cfg.port,
+            http='httptools',
+            ws='none',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            limit_concurrency=cfg.max_connections,
+            timeout_keep_alive=int(cfg.keep_alive_s),
+            timeout_graceful_shutdown=5,
+            ssl_certfile=cfg.cert_file or None,
+            ssl_keyfile=cfg.key_file or None,
+        )
+
+    def _app(self) -> applications.Starlette:
+        cfg = self._cfg.http
+        limits = _http_callers.HttpLimits(
+            max_body_bytes=cfg.max_body_bytes,
+            body_timeout_s=cfg.body_timeout_s,
+            default_deadline_s=cfg.default_deadline_s,
+            max_deadline_s=cfg.max_deadline_s,
+            max_in_flight=cfg.max_in_flight,
+        )
+        callers = _http_callers.CallerRoutes(
+            self._service, self._deps.clock, limits
+        )
+        operators = _http_operators.OperatorRoutes(self._admin, limits)
+        return applications.Starlette(
+            routes=[
+                *callers.routes(),
+                *operators.routes(),
+                routing.Route('/health/live', self._live),
+                routing.Route('/health/ready', self._ready),
+                routing.Route('/metrics', self._metrics_page),
+            ],
+            exception_handlers={
+                _http_common.BadRequest: _http_common.bad_request,
+                _http_operators.NotAnOperator: (
+                    _http_operators.not_an_operator
+                ),
+                Exception: _http_common.internal_fault,
+            },
+        )
+
+    async def _live(self, req: requests.Request) -> responses.Response:
+        return responses.PlainTextResponse('live\n')
+
+    async def _ready(self, req: requests.Request) -> responses.Response:
+        ready = self._service.version > 0 and not self._admin.draining
+        if ready:
+            return responses.PlainTextResponse('ready\n')
+        return responses.PlainTextResponse('not ready\n', 503)
+
+    async def _metrics_page(self, req: requests.Request) -> responses.Response:
+        content, headers = self._deps.metrics.render(
+            req.headers.get('accept', '')
+        )
+        return responses.Response(content, headers=headers)
+
+    async def _update_gauges(self) -> None:
+        metrics = self._deps.metrics
+        while True:
+            metrics.callers.set({}, self._service.in_flight)
+            for key, group in self._service.groups.items():
+                labels = {'site': key.site, 'group': key.group}
+                machine = group.machine
+                metrics.waiting.set(labels, machine.waiting)
+                if machine.row is not None:
+                    metrics.term.set(labels, machine.row.term)
+                for name in machine.cfg.endpoints:
+                    metrics.connections.set(
+                        {**labels, 'endpoint': name},
+                        machine.conn_count(name),
+                    )
+            await anyio.sleep(GAUGE_INTERVAL)
--- /dev/null
+++ b/src/tidegrade/daemon/_registration.py
@@ -0,0 +1,52 @@
+"""Registration of a proxy, so that supervisors know of it."""
+
+from collections.abc import Callable
+
+import anyio
+import orjson
+
+from tidegrade.adapters import _logs
+from tidegrade.adapters import _rows
+from tidegrade.daemon import _deps
+from tidegrade import ports
+
+#: Pause between attempts, in seconds.
+RETRY_PAUSE = 0.2
+
+
+class Registration:
+    """Keeps this run of the proxy in the platform's table.
+
+    Only a registered proxy may hold write permissions: a supervisor lists
+    the registered ones *after* it has fenced a majority, so a proxy that
+    it doesn't find can't gain a permission for the term that ends.
+    """
+
+    def __init__(
+        self, deps: _deps.Deps, registered: Callable[[], None]
+    ) -> None:
+        self._deps = deps
+        self._registered = registered
+        self._key = _rows.HOLDERS + deps.proxy_id
+
+    async def run(self) -> None:
+        """Register; then there is nothing more to do."""
+        value = orjson.dumps({'domain': self._deps.cfg.domain})
+        while not await self._register(value):
+            await anyio.sleep(RETRY_PAUSE)
+        _logs.write(_logs.LogEvent.REGISTERED)
+        self._registered()
+
+    async def withdraw(self) -> None:
+        """Take the registration back when no permission can be held."""
+        await self._deps.table.delete(self._key)
+
+    async def _register(self, value: bytes) -> bool:
+        written = await self._deps.table.write(self._key, value, None)
+        if written.is_ok():
+            return True
+        if written.unwrap_err() is ports.WriteProblem.CONFLICT:
+            # An earlier attempt took effect without an answer.
+            return True
+        found = await self._deps.table.read(self._key)
+        return found.is_ok() and found.unwrap() is not None
--- /dev/null
+++ b/src/tidegrade/daemon/_row_task.py
@@ -0,0 +1,131 @@
+"""The task that reads and writes one group's row in the platform."""
+
+from collections.abc import Callable
+
+import anyio
+
+from tidegrade.adapters import _logs
+from tidegrade.adapters import _rows
+from tidegrade import core
+from tidegrade.core import supervision
+from tidegrade import ports
+
+#: Pause between reads that nobody asked for, in seconds.
+READ_INTERVAL = 5.0
+#: Shortest pause between reads that were asked for, in seconds.
+MIN_READ_INTERVAL = 0.05
+#: Reads that may tell what became of a write without an answer.
+SETTLE_READS = 5
+SETTLE_PAUSE = 0.1
+
+Post = Callable[[core.Event | supervision.SupervisorEvent], None]
+
+
+class RowTask:
+    """Carries out what concerns the row, one operation after another."""
+
+    def __init__(self, key: str, table: ports.Table, post: Post) -> None:
+        self._key = key
+        self._table = table
+        self._post = post
+        self._wanted = anyio.Event()
+        self._send, self._orders = anyio.create_memory_object_stream[
+            supervision.SupervisorCommand
+        ](64)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_reading)
+            async for order in self._orders:
+                await self._carry_out(order)
+
+    def fetch(self) -> None:
+        """Have the row read soon; many requests cause one read."""
+        self._wanted.set()
+
+    def order(self, command: supervision.SupervisorCommand) -> None:
+        """Have a supervisor's operation carried out."""
+        self._send.send_nowait(command)
+
+    async def _keep_reading(self) -> None:
+        while True:
+            found = await self._read()
+            if found is not None:
+                self._post(core.RowSeen(found[0]))
+            await anyio.sleep(MIN_READ_INTERVAL)
+            with anyio.move_on_after(READ_INTERVAL):
+                await self._wanted.wait()
+            self._wanted = anyio.Event()
+
+    async def _carry_out(self, order: supervision.SupervisorCommand) -> None:
+        if isinstance(order, supervision.ReadRow):
+            await self._read_for_supervisor()
+        elif isinstance(order, supervision.WriteRow):
+            await self._write(order)
+        elif isinstance(order, supervision.ListHolders):
+            await self._list_holders()
+
+    async def _read(self) -> tuple[core.GroupRow, str] | None:
+        answer = await self._table.read(self._key)
+        found = answer.unwrap_or(None)
+        if found is None:
+            return None
+        row = _rows.decode_row(found.value)
+        if row.is_err():
+            _logs.write(
+                _logs.LogEvent.ROW_MALFORMED,
+                row=self._key,
+                reason=row.unwrap_err(),
+            )
+            return None
+        return row.unwrap(), found.tag
+
+    async def _read_for_supervisor(self) -> None:
+        answer = await self._table.read(self._key)
+        if answer.is_err():
+            self._post(supervision.RowLost())
+            return
+        found = answer.unwrap()
+        if found is None:
+            self._post(supervision.RowRead(None, None))
+            return
+        row = _rows.decode_row(found.value)
+        if row.is_err():
+            self._post(supervision.RowLost())
+            return
+        self._post(supervision.RowRead(row.unwrap(), found.tag))
+
+    async def _write(self, order: supervision.WriteRow) -> None:
+        value = _rows.encode_row(order.row)
+        written = await self._table.write(self._key, value, order.expected)
+        if written.is_ok():
+            tag = written.unwrap()
+            self._post(supervision.RowWritten(order.row, tag))
+        elif written.unwrap_err() is ports.WriteProblem.UNKNOWN:
+            await self._settle(order)
+        else:
+            self._post(supervision.RowLost())
+            self.fetch()
+
+    async def _settle(self, order: supervision.WriteRow) -> None:
+        """Find out by the attempt's own id if a lost write took effect."""
+        for _ in range(SETTLE_READS):
+            await anyio.sleep(SETTLE_PAUSE)
+            found = await self._read()
+            if found is None:
+                continue
+            row, tag = found
+            if row == order.row:
+                self._post(supervision.RowWritten(row, tag))
+                return
+            break
+        self._post(supervision.RowLost())
+
+    async def _list_holders(self) -> None:
+        listed = await self._table.keys(_rows.HOLDERS)
+        if listed.is_err():
+            self._post(supervision.RowLost())
+            return
+        ids = (key.removeprefix(_rows.HOLDERS) for key in listed.unwrap())
+        self._post(supervision.HoldersListed(frozenset(ids)))
--- /dev/null
+++ b/src/tidegrade/daemon/_settings.py
@@ -0,0 +1,97 @@
+"""Settings of a proxy, read from a JSON file."""
+
+import attrs
+import result
+
+from tidegrade.adapters import _platform
+from tidegrade.adapters import _postgres
+from tidegrade.adapters import _structure
+
+
+@attrs.frozen
+class HttpSettings:
+    """Where callers and operators connect, and what they may send.
+
+    Sizes are in bytes, times in seconds. With ``cert_file`` and
+    ``key_file`` the proxy serves TLS only.
+    """
+
+    host: str
+    port: int
+    max_connections: int = 6000
+    max_in_flight: int = 2000
+    max_body_bytes: int = 262_144
+    body_timeout_s: float = 5.0
+    keep_alive_s: float = 30.0
+    default_deadline_s: float = 5.0
+    max_deadline_s: float = 30.0
+    cert_file: str = ''
+    key_file: str = ''
+
+
+@attrs.frozen
+class PeerSettings:
+    """How proxies reach each other.
+
+    ``key`` is a shared secret of 32 bytes as 64 hex digits. Heartbeats go
+    out every ``heartbeat_s``; a peer unheard for ``alive_s`` isn't alive.
+    """
+
+    host: str
+    port: int
+    key: str
+    heartbeat_s: float = 0.2
+    alive_s: float = 1.0
+
+
+@attrs.frozen
+class ProxySettings:
+    """Everything a proxy must know before it meets the platform.
+
+    ``operators`` maps operators' names to the SHA-256 of their keys; they
+    may act before any configuration names others. ``drain_limit_s`` ends
+    the wait of a graceful shutdown.
+    """
+
+    name: str
+    domain: str
+    http: HttpSettings
+    peers: PeerSettings
+    platform: _platform.PlatformSettings
+    postgres: _postgres.PostgresSettings = attrs.field(
+        factory=_postgres.PostgresSettings
+    )
+    operators: dict[str, str] = attrs.field(factory=dict)
+    config_poll_s: float = 1.0
+    vm_poll_s: float = 1.0
+    drain_limit_s: float = 30.0
+
+
+def read_settings(
+    raw: bytes,
+) -> result.Result[ProxySettings, list[str]]:
+    """Read and check settings; the errors name paths."""
+    read = _structure.structure(raw, ProxySettings)
+    if read.is_err():
+        return read
+    found = _problems(read.unwrap())
+    return result.Err(found) if found else read
+
+
+def _problems(cfg: ProxySettings) -> list[str]:
+    found = []
+    try:
+        key = bytes.fromhex(cfg.peers.key)
+    except ValueError:
+        key = b''
+    if len(key) != 32:
+        found.append('expected 64 hex digits at $.peers.key')
+    if not cfg.name:
+        found.append('expected a name at $.name')
+    if not cfg.domain:
+        found.append('expected a failure domain at $.domain')
+    if bool(cfg.http.cert_file) != bool(cfg.http.key_file):
+        found.append(
+            'expected both or none of cert_file and key_file at $.http'
+        )
+    return found
--- /dev/null
+++ b/src/tidegrade/ports/__init__.py
@@ -0,0 +1,41 @@
+"""What the daemon needs from the outside, as protocols."""
+
+from tidegrade.ports._callers import Call
+from tidegrade.ports._callers import Callers
+from tidegrade.ports._callers import CallReply
+from tidegrade.ports._clock import Clock
+from tidegrade.ports._endpoint import ConnectProblem
+from tidegrade.ports._endpoint import EndpointConn
+from tidegrade.ports._endpoint import Endpoints
+from tidegrade.ports._operators import Applied
+from tidegrade.ports._operators import ApplyOrder
+from tidegrade.ports._operators import ApplyProblem
+from tidegrade.ports._operators import HistoryEntry
+from tidegrade.ports._operators import Operators
+from tidegrade.ports._platform import ObjectStore
+from tidegrade.ports._platform import Table
+from tidegrade.ports._platform import Versioned
+from tidegrade.ports._platform import Vm
+from tidegrade.ports._platform import VmList
+from tidegrade.ports._platform import WriteProblem
+
+__all__ = [
+    'Applied',
+    'ApplyOrder',
+    'ApplyProblem',
+    'Call',
+    'CallReply',
+    'Callers',
+    'Clock',
+    'ConnectProblem',
+    'EndpointConn',
+    'Endpoints',
+    'HistoryEntry',
+    'ObjectStore',
+    'Operators',
+    'Table',
+    'Versioned',
+    'Vm',
+    'VmList',
+    'WriteProblem',
+]
--- /dev/null
+++ b/src/tidegrade/ports/_platform.py
@@ -0,0 +1,71 @@
+"""The platform's table service, object store and VM list."""
+
+import enum
+import typing
+
+import attrs
+import result
+
+
+@attrs.frozen
+class Versioned:
+    """A table row's value and the tag of this version of it."""
+
+    value: bytes
+    tag: str
+
+
+class WriteProblem(enum.Enum):
+    """Why a conditional write gave no new version."""
+
+    #: Another version is there; nothing was changed by this write.
+    CONFLICT = 'conflict'
+    #: No answer: the change may have taken effect.
+    UNKNOWN = 'unknown'
+
+
+class Table(typing.Protocol):
+    """Rows with compare-and-set."""
+
+    async def read(self, key: str) -> result.Result[Versioned | None, str]:
+        """Give a row, None if there is none, or why it can't be read."""
+
+    async def write(
+        self, key: str, value: bytes, expected: str | None
+    ) -> result.Result[str, WriteProblem]:
+        """Write a row if its tag is ``expected`` (None: it is absent)."""
+
+    async def delete(self, key: str) -> result.Result[None, str]:
+        """Delete a row if it is there."""
+
+    async def keys(self, prefix: str) -> result.Result[list[str], str]:
+        """Give the keys that begin with ``prefix``."""
+
+
+class ObjectStore(typing.Protocol):
+    """Objects named by their content's hash."""
+
+    async def get(self, name: str) -> result.Result[bytes | None, str]:
+        """Give an object, or None if there is none."""
+
+    async def put(self, name: str, content: bytes) -> result.Result[None, str]:
+        """Store an object; storing the same again does no harm."""
+
+
+@attrs.frozen
+class Vm:
+    """An entry of the VM list; it may lag behind reality."""
+
+    id: str
+    role: str
+    domain: str
+    host: str
+    port: int
+    leaving: bool = False
+
+
+class VmList(typing.Protocol):
+    """The platform's list of live and leaving VMs."""
+
+    async def vms(self) -> result.Result[list[Vm], str]:
+        """Give the list."""
