--- /dev/null
+++ b/bench/tidegrade_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: whole deployments on one machine, load, experiments."""
--- /dev/null
+++ b/standins/tidegrade_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that tidegrade meets, for tests and trials."""
--- /dev/null
+++ b/standins/tidegrade_standins/_control.py
@@ -0,0 +1,43 @@
+"""The control port through which faults are set and states are read."""
+
+import typing
+
+import attrs
+import cattrs
+import orjson
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+import uvicorn
+
+F = typing.TypeVar('F')
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+def fault_route(faults: typing.Any) -> routing.Route:
+    """Give ``POST /faults``, which changes the named fields."""
+
+    async def change(req: requests.Request) -> responses.Response:
+        changes = orjson.loads(await req.body())
+        current = attrs.asdict(faults)
+        checked = _converter.structure({**current, **changes}, type(faults))
+        for field in attrs.fields(type(faults)):
+            setattr(faults, field.name, getattr(checked, field.name))
+        return responses.JSONResponse(attrs.asdict(faults))
+
+    return routing.Route('/faults', change, methods=['POST'])
+
+
+async def serve(app: applications.Starlette, host: str, port: int) -> None:
+    """Serve an application until cancelled."""
+    cfg = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        log_level='warning',
+        access_log=False,
+        timeout_graceful_shutdown=1,
+    )
+    await uvicorn.Server(cfg).serve()
