Take no former primary for a replica, and survive frames of strangers

Cause, first: with real processes, a primary frozen for seconds and thawed after a failover gave 13 reads that missed the session's own write. The stand-in let an instance that had left recovery follow the new primary, and reported what it had received as its position; the core took any endpoint bearing the term's marker, other than the primary, for a replica. Second: bytes that are not sealed with the shared key ended the whole process, since the error left a task group wrapped in a group.

Ruled out: a wrong check of positions (the report's own position was above the floor); lost confirmations (the writes were in the final database).

Change: a report counts only in its role, primary or replica, for reads, for confirmations and for the data's age; the stand-in follows only in recovery, as PostgreSQL does. A peer's bad frame is handled inside its task group.

--- a/src/tidegrade/adapters/_peers.py
+++ b/src/tidegrade/adapters/_peers.py
@@ -192,11 +192,9 @@
                     frames = await _frames.open_frames(
                         stream, self._key, connects=False
                     )
-                await self._converse(frames)
-            except (_frames.NotAPeer, messages.Malformed) as exc:
-                _logs.write(_logs.LogEvent.PEER_REFUSED, reason=str(exc))
             except (*_GONE, TimeoutError):
-                pass
+                return
+            await self._converse(frames)
 
     async def _converse(self, frames: _frames.FrameStream) -> None:
         async with anyio.create_task_group() as tasks:
@@ -208,7 +206,11 @@
                     else:
                         await self._handler(message.body)
             except _GONE:
-                tasks.cancel_scope.cancel()
+                pass
+            except (_frames.NotAPeer, messages.Malformed) as exc:
+                # Caught inside the task group, which would wrap it.
+                _logs.write(_logs.LogEvent.PEER_REFUSED, reason=str(exc))
+            tasks.cancel_scope.cancel()
 
     async def _answer(
         self, frames: _frames.FrameStream, message: messages.PeerMessage
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -279,11 +279,10 @@
             return
         if max(report.marker, report.promised) > row.term:
             state.order(_events.FetchRow())
-        if report.marker != row.term:
+        if not state.is_current(name, report):
             return
         if name == row.primary:
-            if not report.in_recovery:
-                state.samples.add(sent_at, report.lsn)
+            state.samples.add(sent_at, report.lsn)
         else:
             self._measure_delay(name, report.lsn, sent_at)
 
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -215,7 +215,7 @@
         """Check the answer itself against the need, not cached positions."""
         state = self._state
         row = state.row
-        if row is None or done.report.marker != row.term:
+        if row is None or not state.is_current(conn.endpoint, done.report):
             state.order(_events.FetchRow())
             return False
         floor = _row.floor_lsn(row, pending.req.floor)
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -107,11 +107,19 @@
         return self.registered and self.permission.held(now)
 
     def on_history(self, name: str) -> bool:
-        """Tell whether an endpoint's data belongs to the current term."""
+        """Tell whether an endpoint's last report is of the current term."""
         report = self.views[name].report
-        if report is None or self.row is None:
+        return report is not None and self.is_current(name, report)
+
+    def is_current(self, name: str, report: _types.EndpointReport) -> bool:
+        """Tell whether a report is of the current term, in its role.
+
+        A former primary that came back is not a replica until it says so:
+        what it calls its position isn't what its data holds.
+        """
+        if self.row is None or report.marker != self.row.term:
             return False
-        return report.marker == self.row.term
+        return report.in_recovery == (name != self.row.primary)
 
     def takes_work(self, name: str, now: float) -> bool:
         """Tell whether an endpoint may get callers' work."""
--- a/src/tidegrade/core/_writes.py
+++ b/src/tidegrade/core/_writes.py
@@ -188,8 +188,7 @@
         row = self._state.row
         if row is None or conn.endpoint != row.primary:
             return False
-        report = done.report
-        if report.marker == row.term and not report.in_recovery:
+        if self._state.is_current(conn.endpoint, done.report):
             return True
         self._state.order(_events.FetchRow())
         return False
--- a/standins/tidegrade_fakes/__init__.py
+++ b/standins/tidegrade_fakes/__init__.py
@@ -6,10 +6,10 @@
 """
 
 from tidegrade_fakes._callers import Account
+from tidegrade_fakes._run import run
 from tidegrade_fakes._run import RunReport
 from tidegrade_fakes._run import RunSettings
 from tidegrade_fakes._run import Violation
-from tidegrade_fakes._run import run
 from tidegrade_fakes._world import World
 
 __all__ = [
--- a/standins/tidegrade_standins/_replication.py
+++ b/standins/tidegrade_standins/_replication.py
@@ -62,7 +62,8 @@
             tasks.start_soon(self._apply)
             while True:
                 changed = self._instance.upstream_changed
-                if not self._instance.upstream:
+                idle = not self._instance.in_recovery
+                if idle or not self._instance.upstream:
                     await changed.wait()
                     continue
                 await self._follow_until(changed)
--- /dev/null
+++ b/tests/proofs/test_guards.py
@@ -0,0 +1,85 @@
+"""Each guard taken out breaks a promise: the proofs can fail."""
+
+import pytest
+import tidegrade_fakes as fakes
+
+from tidegrade import config
+from tidegrade import core
+from tidegrade.core import _confirm
+from tidegrade.core import _permission
+from tidegrade.core import _reads
+from tidegrade.core import _row
+from tidegrade.core import _state
+from tidegrade.core import _writes
+
+SEEDS = range(100, 130)
+
+
+def breaks(**changes: object) -> str:
+    """Give the first promise that a run finds broken."""
+    for seed in SEEDS:
+        cfg = fakes.RunSettings(seed=seed, seconds=12, **changes)
+        try:
+            fakes.run(cfg)
+        except (fakes.Violation, core.InvariantBroken) as exc:
+            return str(exc)
+    return ''
+
+
+@pytest.fixture
+def hard_cuts() -> dict[str, object]:
+    return {
+        'fault_pause': 0.7,
+        'faults': frozenset(
+            {'freeze', 'cut_domain', 'kill_endpoint', 'cut_endpoint'}
+        ),
+        'acknowledge': config.Acknowledge.PRIMARY,
+    }
+
+
+def test_without_the_check_on_the_answering_connection(monkeypatch):
+    monkeypatch.setattr(_reads.ReadPath, '_satisfies', lambda *_: True)
+    assert ' and read ' in breaks()
+
+
+def test_without_the_permission_to_acknowledge(monkeypatch, hard_cuts):
+    monkeypatch.setattr(_state.GroupState, 'may_acknowledge', lambda *_: True)
+    assert breaks(**hard_cuts)
+
+
+def test_without_waiting_for_silent_holders(monkeypatch, hard_cuts):
+    monkeypatch.setattr(_permission, 'PERMISSION_WAIT', 0.0)
+    assert 'acknowledged after' in breaks(**hard_cuts)
+
+
+def test_without_the_record_of_the_key(monkeypatch):
+    monkeypatch.setattr(
+        _writes.WritePath,
+        '_start_job',
+        lambda _, pending: core.StartJob(pending.req.statements),
+    )
+    assert ' times' in breaks()
+
+
+def test_without_confirmation_by_a_majority(monkeypatch):
+    monkeypatch.setattr(_confirm.Confirmations, 'held_lsn', lambda _: 2**64)
+    assert breaks()
+
+
+def test_without_the_forks_of_past_terms(monkeypatch, hard_cuts):
+    real = _row.floor_lsn
+
+    def forgetful(row, floor):
+        return real(core.GroupRow(9**9, 'a', frozenset()), floor)
+
+    monkeypatch.setattr(_row, 'floor_lsn', forgetful)
+    assert ' and read ' in breaks(**hard_cuts)
+
+
+def test_saying_not_run_of_a_lost_commit(monkeypatch, hard_cuts):
+    def careless(self, pending, code, detail=''):
+        pending.commit_sent = False
+        self.refuse(pending, code, detail)
+
+    monkeypatch.setattr('tidegrade.core._registry.Registry.unknown', careless)
+    assert 'refused as not run' in breaks(**hard_cuts)
