--- a/standins/tidegrade_fakes/_callers.py
+++ b/standins/tidegrade_fakes/_callers.py
@@ -101,7 +101,7 @@
         """Send a request to any proxy and wait for at most one answer."""
         proxies = [p for p in self._world.proxies.values() if p.alive]
         proxy = self._rng.choice(proxies)
-        over = []
+        over: list[bool] = []
 
         def once(answer: core.Answer) -> None:
             if not over:
--- a/standins/tidegrade_fakes/_run.py
+++ b/standins/tidegrade_fakes/_run.py
@@ -218,7 +218,8 @@
     def _cut_domain(self) -> None:
         """Cut a failure domain from everything outside it."""
         domain = self._rng.choice(DOMAINS)
-        inside, outside = [], ['table']
+        inside: list[str] = []
+        outside = ['table']
         for name in self.world.proxies:
             target = inside if name.endswith(f'.{domain}') else outside
             target.append(name)
--- a/standins/tidegrade_fakes/_world.py
+++ b/standins/tidegrade_fakes/_world.py
@@ -1,6 +1,7 @@
 """Virtual time, links and the proxies that drive the core over them."""
 
 from collections.abc import Callable
+import functools
 import heapq
 import itertools
 import random
@@ -347,10 +348,8 @@
         """Break the connections to an endpoint that was killed."""
         for sent in list(endpoint.conns):
             if sent in self._conns.values():
-                self.world.send(
-                    endpoint.name,
-                    self.name,
-                    lambda s=sent: self.do(lambda: self._ended(s, False)),
+                self._later(
+                    endpoint, functools.partial(self._ended, sent, False)
                 )
 
     def die(self) -> None:
@@ -376,11 +375,11 @@
     def _beat_now(self) -> None:
         opinion = self._opinion()
         for peer in self._peers():
-            self.world.send(
-                self.name,
-                peer.name,
-                lambda p=peer: p.do(lambda: p.hear(opinion)),
-            )
+            self._tell(peer, functools.partial(peer.hear, opinion))
+
+    def _tell(self, peer: 'FakeProxy', action: Callable[[], None]) -> None:
+        """Have a peer do something once a message reaches it."""
+        self.world.send(self.name, peer.name, lambda: peer.do(action))
 
     def _peers(self) -> list['FakeProxy']:
         return [p for p in self.world.proxies.values() if p is not self]
@@ -393,11 +392,7 @@
         event = core.RowSeen(order.row)
         self.world.at(0.0, lambda: self.do(lambda: self.handle(event)))
         for peer in self._peers():
-            self.world.send(
-                self.name,
-                peer.name,
-                lambda p=peer: p.do(lambda: p.handle(event)),
-            )
+            self._tell(peer, functools.partial(peer.handle, event))
 
     def _ask_give_up(self, order: supervision.AskGiveUp) -> None:
         for name in order.proxies:
@@ -408,22 +403,15 @@
                 self.handle(core.GiveUp(order.below))
                 self._gave_up(name, order.below)
                 continue
-            self.world.send(
-                self.name,
-                name,
-                lambda t=target: t.do(
-                    lambda: t.give_up_for(self, order.below)
-                ),
+            self._tell(
+                target,
+                functools.partial(target.give_up_for, self, order.below),
             )
 
     def give_up_for(self, asker: 'FakeProxy', below: int) -> None:
         """Give up permissions because a supervisor asks."""
         self.handle(core.GiveUp(below))
-        self.world.send(
-            self.name,
-            asker.name,
-            lambda: asker.do(lambda: asker._gave_up(self.name, below)),
-        )
+        self._tell(asker, functools.partial(asker._gave_up, self.name, below))
 
     def _gave_up(self, name: str, below: int) -> None:
         event = supervision.GaveUp(name, below)
