Measure how the control work grows with its counts

Ruled out: estimates from the trial's microseconds; a larger machine.

Change: `make slopes` measures heartbeats against groups, decisions against idle groups, a configuration against its groups, memory against open connections, and real idle proxies against their number (3 to 40 processes), and writes the fitted lines with their residuals.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,15 @@
 demo: $(STAMP)
 	$(BIN)/python -m tidegrade_bench demo
 
+SECONDS ?= 60
+SEED ?= 0
+
+soak: $(STAMP)
+	$(BIN)/python -m tidegrade_bench soak --seconds $(SECONDS) --seed $(SEED)
+
+slopes: $(STAMP)
+	$(BIN)/python -m tidegrade_bench slopes
+
 format: $(STAMP)
 	$(BIN)/ruff format src standins bench tests
 	$(BIN)/ruff check --fix src standins bench tests
--- a/bench/tidegrade_bench/__main__.py
+++ b/bench/tidegrade_bench/__main__.py
@@ -1,9 +1,13 @@
 """``python -m tidegrade_bench COMMAND``."""
 
+from typing import Annotated
+
 import anyio
 import typer
 
 from tidegrade_bench import _demo
+from tidegrade_bench import _slopes
+from tidegrade_bench import _soak
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -24,5 +28,21 @@
     raise typer.Exit(0 if ok else 1)
 
 
+@app.command()
+def slopes() -> None:
+    """Measure costs against counts and write docs/CAPACITY-slopes.md."""
+    anyio.run(_slopes.run)
+
+
+@app.command()
+def soak(
+    seconds: Annotated[float, typer.Option(help='How long.')] = 60.0,
+    seed: Annotated[int, typer.Option(help='The first seed.')] = 0,
+) -> None:
+    """Run randomised histories of the core under failure."""
+    if not _soak.run(seconds, seed):
+        raise typer.Exit(1)
+
+
 if __name__ == '__main__':
     app()
--- a/src/tidegrade/adapters/_frames.py
+++ b/src/tidegrade/adapters/_frames.py
@@ -28,7 +28,7 @@
     """The other side does not hold the shared key, or frames were lost."""
 
 
-class _Direction:
+class Direction:
     """One direction's key and counter."""
 
     def __init__(self, key: bytes) -> None:
@@ -58,8 +58,8 @@
         self,
         stream: anyio.abc.ByteStream,
         reader: anyio.streams.buffered.BufferedByteReceiveStream,
-        outgoing: _Direction,
-        incoming: _Direction,
+        outgoing: Direction,
+        incoming: Direction,
     ) -> None:
         self._stream = stream
         self._reader = reader
@@ -106,8 +106,8 @@
     connector, acceptor = keys[:KEY_SIZE], keys[KEY_SIZE:]
     if connects:
         return FrameStream(
-            stream, reader, _Direction(connector), _Direction(acceptor)
+            stream, reader, Direction(connector), Direction(acceptor)
         )
     return FrameStream(
-        stream, reader, _Direction(acceptor), _Direction(connector)
+        stream, reader, Direction(acceptor), Direction(connector)
     )
--- a/standins/tidegrade_fakes/__init__.py
+++ b/standins/tidegrade_fakes/__init__.py
@@ -7,6 +7,7 @@
 
 from tidegrade_fakes._callers import Account
 from tidegrade_fakes._run import run
+from tidegrade_fakes._run import Run
 from tidegrade_fakes._run import RunReport
 from tidegrade_fakes._run import RunSettings
 from tidegrade_fakes._run import Violation
@@ -14,6 +15,7 @@
 
 __all__ = [
     'Account',
+    'Run',
     'RunReport',
     'RunSettings',
     'Violation',
--- a/standins/tidegrade_fakes/_endpoint.py
+++ b/standins/tidegrade_fakes/_endpoint.py
@@ -1,5 +1,7 @@
 """A fake database instance: a log of transactions and what it implies."""
 
+import typing
+
 import attrs
 
 from tidegrade import core
@@ -52,7 +54,7 @@
         self.applied = 0
         self.ship_delay = 0.002
         self.apply_delay = 0.005
-        self.conns: set[object] = set()
+        self.conns: set[typing.Any] = set()
         self.peak_conns = 0
         self.txns: dict[object, OpenTxn] = {}
 
