Serve TLS at every door, close slow heads, name requests in logs

Cause: the doors had TLS settings without a test, a client could hold a connection by sending its request's head byte by byte (uvicorn limits only the time between requests), and logs could not be matched with requests.

Ruled out: a proxy in front for slow clients (nothing else runs on the VMs).

Before: a silent connection stayed open until its client went.

--- a/src/tidegrade/adapters/_http_callers.py
+++ b/src/tidegrade/adapters/_http_callers.py
@@ -163,6 +163,7 @@
         self, req: requests.Request, kind: core.Kind, **fields: object
     ) -> common.FinalResponse:
         received = self._clock.now()
+        request_id = common.request_id(req)
         if self._in_flight >= self._limits.max_in_flight:
             full = core.Answer(
                 core.Outcome.NOT_RUN,
@@ -170,7 +171,9 @@
                 detail='the proxy has too many requests in flight',
                 retry_after=1.0,
             )
-            return common.FinalResponse(lambda: answer_response(full, ''))
+            return common.FinalResponse(
+                lambda: answer_response(full, '', request_id)
+            )
         call = ports.Call(
             site=req.path_params['site'],
             group=req.path_params['group'],
@@ -178,6 +181,7 @@
             kind=kind,
             received=received,
             time_left=self._time_left(req),
+            request_id=request_id,
             session=req.headers.get(SESSION, ''),
             key=_key_of(req, kind),
             txn=req.path_params.get('txn', ''),
@@ -189,7 +193,7 @@
         finally:
             self._in_flight -= 1
         return common.FinalResponse(
-            lambda: answer_response(reply.final(), reply.session)
+            lambda: answer_response(reply.final(), reply.session, request_id)
         )
 
     def _time_left(self, req: requests.Request) -> float:
@@ -203,9 +207,13 @@
         return min(int(text) / 1000, self._limits.max_deadline_s)
 
 
-def answer_response(answer: core.Answer, session: str) -> responses.Response:
+def answer_response(
+    answer: core.Answer, session: str, request_id: str
+) -> responses.Response:
     """Give the response that says an answer."""
-    headers = {SESSION: session} if session else None
+    headers = {common.REQUEST_ID: request_id}
+    if session:
+        headers[SESSION] = session
     if answer.outcome is core.Outcome.DONE:
         return responses.Response(
             _results.to_json(_done_body(answer)),
@@ -221,7 +229,7 @@
         status,
         code.value,
         answer.detail,
-        {'outcome': answer.outcome.value},
+        {'outcome': answer.outcome.value, 'request': request_id},
         answer.retry_after,
     )
 
--- a/src/tidegrade/adapters/_http_common.py
+++ b/src/tidegrade/adapters/_http_common.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import math
+import uuid
 
 import anyio
 import attrs
@@ -16,6 +17,11 @@
 PROBLEM_TYPE = 'application/problem+json'
 JSON_TYPE = 'application/json'
 
+#: Header with the id under which logs name a request.
+REQUEST_ID = 'Tidegrade-Request-Id'
+#: Longest id taken from a caller, in characters.
+MAX_REQUEST_ID = 100
+
 #: Status of each problem code; RFC 9110 gives their meaning.
 STATUS_OF = {
     core.Code.DEADLINE: 504,
@@ -125,6 +131,7 @@
     """Answer a request that met a fault of ours; nobody knows its end."""
     _logs.write(
         _logs.LogEvent.REQUEST_FAILED,
+        request=request_id(req),
         path=req.url.path,
         fault=f'{type(exc).__name__}: {exc}',
     )
@@ -136,6 +143,18 @@
     )
 
 
+def request_id(req: requests.Request) -> str:
+    """Give the request's id: the caller's own if it is short, or ours."""
+    known = getattr(req.state, 'request_id', None)
+    if known is None:
+        given = req.headers.get(REQUEST_ID, '')
+        usable = given.isascii() and given.isprintable()
+        if not usable or not 0 < len(given) <= MAX_REQUEST_ID:
+            given = uuid.uuid4().hex
+        known = req.state.request_id = given
+    return known
+
+
 class FinalResponse:
     """A response whose content is decided as its first byte is sent."""
 
--- /dev/null
+++ b/src/tidegrade/adapters/_http_server.py
@@ -0,0 +1,59 @@
+"""The HTTP server: uvicorn, with a limit on the time of a request's head."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+
+def protocol_with(header_timeout: float) -> type:
+    """Give a protocol class that closes connections with slow heads.
+
+    uvicorn limits the time between requests, but not that of a head which
+    trickles in; without this, slow clients could hold all connections.
+    """
+
+    class TimedHeads(httptools_impl.HttpToolsProtocol):
+        """Closes a connection whose request head takes too long."""
+
+        _timer: asyncio.TimerHandle | None = None
+
+        def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+            super().connection_made(transport)
+            self._start_timer()
+
+        def on_message_begin(self) -> None:
+            self._start_timer()
+            super().on_message_begin()
+
+        def on_headers_complete(self) -> None:
+            self._stop_timer()
+            super().on_headers_complete()
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            self._stop_timer()
+            super().connection_lost(exc)
+
+        def _start_timer(self) -> None:
+            if self._timer is None:
+                self._timer = self.loop.call_later(
+                    header_timeout, self.transport.close
+                )
+
+        def _stop_timer(self) -> None:
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+
+    return TimedHeads
+
+
+class Server(uvicorn.Server):
+    """A server that leaves signals to whoever runs it."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals alone."""
+        yield
--- a/src/tidegrade/adapters/_logs.py
+++ b/src/tidegrade/adapters/_logs.py
@@ -42,6 +42,7 @@
     ENDPOINT_LEAVING = (1501, logging.INFO, 'endpoints are leaving')
     CONNECT_FAILED = (1502, logging.WARNING, 'an endpoint was not reached')
     REQUEST_FAILED = (1601, logging.ERROR, 'a request met a fault of ours')
+    OUTCOME_UNKNOWN = (1602, logging.WARNING, 'an outcome is unknown')
 
     @property
     def number(self) -> int:
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -56,6 +56,7 @@
         self._deps = deps
         self._peers = peers
         self._config_version = 0
+        self._logged_term = 0
         settings = core.MachineSettings(
             deps.proxy_id, deps.cfg.domain, max_proxies
         )
@@ -166,6 +167,19 @@
             return
         for command in self.machine.handle(event, now):
             self._orders[type(command)](command)
+        if isinstance(event, core.RowSeen):
+            self._log_term()
+
+    def _log_term(self) -> None:
+        row = self.machine.row
+        if row is not None and row.term > self._logged_term:
+            self._logged_term = row.term
+            _logs.write(
+                _logs.LogEvent.TERM_SEEN,
+                group=str(self.key),
+                term=row.term,
+                primary=row.primary,
+            )
 
     def _observe(self) -> None:
         now = self._deps.clock.now()
--- a/src/tidegrade/daemon/_proxy.py
+++ b/src/tidegrade/daemon/_proxy.py
@@ -1,6 +1,5 @@
 """Wires a proxy from its settings and runs it to its end."""
 
-import contextlib
 import os
 import random
 import signal
@@ -17,6 +16,7 @@
 from tidegrade.adapters import _http_callers
 from tidegrade.adapters import _http_common
 from tidegrade.adapters import _http_operators
+from tidegrade.adapters import _http_server
 from tidegrade.adapters import _logs
 from tidegrade.adapters import _metrics
 from tidegrade.adapters import _peer_messages as messages
@@ -42,15 +42,6 @@
 GAUGE_INTERVAL = 1.0
 
 
-class _Server(uvicorn.Server):
-    """The HTTP server; signals are handled by the proxy instead."""
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        """Leave signals alone."""
-        yield
-
-
 class Proxy:
     """One run of the daemon."""
 
@@ -89,7 +80,7 @@
         self._is_registered = False
         self._leaving: frozenset[tuple[str, int]] = frozenset()
         self._drain = anyio.Event()
-        self._server = _Server(self._server_config())
+        self._server = _http_server.Server(self._server_config())
         self._tasks: anyio.abc.TaskGroup | None = None
 
     # Life -----------------------------------------------------------------
@@ -278,7 +269,7 @@
             self._app(),
             host=cfg.host,
             port=cfg.port,
-            http='httptools',
+            http=_http_server.protocol_with(cfg.header_timeout_s),
             ws='none',
             lifespan='off',
             log_config=None,
--- a/src/tidegrade/daemon/_service.py
+++ b/src/tidegrade/daemon/_service.py
@@ -7,6 +7,7 @@
 import orjson
 
 from tidegrade.adapters import _keys
+from tidegrade.adapters import _logs
 from tidegrade.adapters import _peer_messages as messages
 from tidegrade.adapters import _wire
 from tidegrade import config
@@ -225,6 +226,13 @@
 
     def _count(self, call: ports.Call, tenant: str, reply: Reply) -> None:
         answer = reply.answer
+        if answer.outcome is core.Outcome.UNKNOWN:
+            _logs.write(
+                _logs.LogEvent.OUTCOME_UNKNOWN,
+                request=call.request_id,
+                tenant=tenant,
+                code=answer.code.value if answer.code else '',
+            )
         took = self._deps.clock.now() - call.received
         metrics = self._deps.metrics
         metrics.requests.inc(
--- a/src/tidegrade/daemon/_settings.py
+++ b/src/tidegrade/daemon/_settings.py
@@ -12,8 +12,9 @@
 class HttpSettings:
     """Where callers and operators connect, and what they may send.
 
-    Sizes are in bytes, times in seconds. With ``cert_file`` and
-    ``key_file`` the proxy serves TLS only.
+    Sizes are in bytes, times in seconds. A connection that takes longer
+    than ``header_timeout_s`` to send a request's head is closed. With
+    ``cert_file`` and ``key_file`` the proxy serves TLS only.
     """
 
     host: str
@@ -21,6 +22,7 @@
     max_connections: int = 6000
     max_in_flight: int = 2000
     max_body_bytes: int = 262_144
+    header_timeout_s: float = 10.0
     body_timeout_s: float = 5.0
     keep_alive_s: float = 30.0
     default_deadline_s: float = 5.0
--- a/src/tidegrade/ports/_callers.py
+++ b/src/tidegrade/ports/_callers.py
@@ -21,6 +21,7 @@
     kind: core.Kind
     received: float
     time_left: float
+    request_id: str = ''
     statements: tuple[core.Statement, ...] = ()
     session: str = ''
     read_class: str = ''
--- a/standins/tidegrade_standins/__main__.py
+++ b/standins/tidegrade_standins/__main__.py
@@ -41,6 +41,8 @@
         served,
         cfg.host,
         cfg.port,
+        cfg.cert_file,
+        cfg.key_file,
         backend_options={'use_uvloop': True},
     )
 
--- a/standins/tidegrade_standins/_control.py
+++ b/standins/tidegrade_standins/_control.py
@@ -30,7 +30,13 @@
     return routing.Route('/faults', change, methods=['POST'])
 
 
-async def serve(app: applications.Starlette, host: str, port: int) -> None:
+async def serve(
+    app: applications.Starlette,
+    host: str,
+    port: int,
+    cert_file: str = '',
+    key_file: str = '',
+) -> None:
     """Serve an application until cancelled."""
     cfg = uvicorn.Config(
         app,
@@ -38,6 +44,8 @@
         port=port,
         log_level='warning',
         access_log=False,
+        ssl_certfile=cert_file or None,
+        ssl_keyfile=key_file or None,
         timeout_graceful_shutdown=1,
     )
     await uvicorn.Server(cfg).serve()
--- a/standins/tidegrade_standins/_postgres.py
+++ b/standins/tidegrade_standins/_postgres.py
@@ -1,15 +1,18 @@
 """A server that clients of PostgreSQL can use, on one instance."""
 
 import contextlib
+import ssl
 
 import anyio
 import anyio.abc
 import anyio.streams.buffered
+from anyio.streams import tls
 import attrs
 
 from tidegrade_standins import _instance
 from tidegrade_standins import _pgwire
 from tidegrade_standins import _replication
+from tidegrade_standins import _settings
 
 #: Largest message taken from a client.
 MAX_MESSAGE = 16_000_000
@@ -26,7 +29,10 @@
     'TimeZone': 'UTC',
 }
 
+_Buffered = anyio.streams.buffered.BufferedByteReceiveStream
+
 _CLIENT_GONE = (
+    ssl.SSLError,
     OSError,
     anyio.EndOfStream,
     anyio.IncompleteRead,
@@ -51,6 +57,7 @@
     def __init__(self, instance: _instance.Instance) -> None:
         self.instance = instance
         self.counters = Counters()
+        self._tls = _tls_context(instance.cfg)
 
     async def serve(self) -> None:
         """Serve until cancelled."""
@@ -65,11 +72,11 @@
             async with stream:
                 await self._converse(stream)
 
-    async def _converse(self, stream: anyio.abc.SocketStream) -> None:
-        reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
-        options = await _read_startup(stream, reader)
-        if options is None:
+    async def _converse(self, plain: anyio.abc.ByteStream) -> None:
+        started = await _start(plain, self._tls)
+        if started is None:
             return
+        stream, reader, options = started
         name = options.get('application_name', '')
         await self._while_cut_off(name)
         if 'replication' in options:
@@ -83,7 +90,7 @@
         finally:
             self.counters.connections -= 1
 
-    async def _admit(self, stream: anyio.abc.SocketStream) -> bool:
+    async def _admit(self, stream: anyio.abc.ByteStream) -> bool:
         counters = self.counters
         if counters.connections >= self.instance.cfg.max_connections:
             counters.refused_connections += 1
@@ -103,22 +110,43 @@
             await anyio.sleep(HANG_PAUSE)
 
 
-async def _read_startup(
-    stream: anyio.abc.SocketStream,
-    reader: anyio.streams.buffered.BufferedByteReceiveStream,
-) -> dict[str, str] | None:
+def _tls_context(
+    cfg: _settings.InstanceSettings,
+) -> ssl.SSLContext | None:
+    if not cfg.cert_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(cfg.cert_file, cfg.key_file)
+    return context
+
+
+async def _start(
+    stream: anyio.abc.ByteStream, context: ssl.SSLContext | None
+) -> tuple[anyio.abc.ByteStream, _Buffered, dict[str, str]] | None:
+    """Read what comes before the conversation; None if nothing follows."""
+    reader = _Buffered(stream)
     while True:
         size = int.from_bytes(await reader.receive_exactly(4), 'big')
         body = await reader.receive_exactly(size - 4)
         code = int.from_bytes(body[:4], 'big')
-        if code in (_pgwire.SSL_REQUEST, _pgwire.GSS_REQUEST):
+        if code == _pgwire.SSL_REQUEST and context is not None:
+            await stream.send(b'S')
+            stream = await tls.TLSStream.wrap(
+                stream, server_side=True, ssl_context=context
+            )
+            reader = _Buffered(stream)
+        elif code in (_pgwire.SSL_REQUEST, _pgwire.GSS_REQUEST):
             await stream.send(b'N')
-            continue
-        if code == _pgwire.CANCEL_REQUEST:
+        elif code == _pgwire.CANCEL_REQUEST:
             return None
-        fields = body[4:].rstrip(b'\0').split(b'\0')
-        names = [f.decode('utf-8') for f in fields]
-        return dict(zip(names[::2], names[1::2], strict=False))
+        else:
+            return stream, reader, _options(body[4:])
+
+
+def _options(raw: bytes) -> dict[str, str]:
+    fields = raw.rstrip(b'\0').split(b'\0')
+    names = [field.decode('utf-8') for field in fields]
+    return dict(zip(names[::2], names[1::2], strict=False))
 
 
 @attrs.define
@@ -136,8 +164,8 @@
     def __init__(
         self,
         server: Server,
-        stream: anyio.abc.SocketStream,
-        reader: anyio.streams.buffered.BufferedByteReceiveStream,
+        stream: anyio.abc.ByteStream,
+        reader: _Buffered,
         client: str,
     ) -> None:
         self._server = server
--- a/standins/tidegrade_standins/_settings.py
+++ b/standins/tidegrade_standins/_settings.py
@@ -8,7 +8,8 @@
     """One database instance.
 
     ``upstream`` is the ``host:port`` it replicates from, empty for a
-    primary. ``data`` is a folder for the database file.
+    primary. ``data`` is a folder for the database file. With ``cert_file``
+    and ``key_file`` clients may ask for TLS.
     """
 
     name: str
@@ -19,6 +20,8 @@
     upstream: str = ''
     max_connections: int = 25
     slots: int = 3
+    cert_file: str = ''
+    key_file: str = ''
 
 
 @attrs.define
@@ -42,10 +45,12 @@
 
 @attrs.frozen
 class PlatformSettings:
-    """The platform: where it listens."""
+    """The platform: where it listens, with TLS if it has a certificate."""
 
     host: str
     port: int
+    cert_file: str = ''
+    key_file: str = ''
 
 
 @attrs.define
