--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := src:standins:bench:tests
 
-.PHONY: test lint types demo bench slopes soak format
+.PHONY: test lint types demo up bench slopes soak format
 
 test: lint types
 	$(BIN)/python -m pytest
@@ -20,12 +20,20 @@
 demo: $(STAMP)
 	$(BIN)/python -m tidegrade_bench demo
 
+up: $(STAMP)
+	$(BIN)/python -m tidegrade_bench up
+
 SECONDS ?= 60
 SEED ?= 0
 
 soak: $(STAMP)
 	$(BIN)/python -m tidegrade_bench soak --seconds $(SECONDS) --seed $(SEED)
 
+ONLY ?=
+
+bench: $(STAMP)
+	$(BIN)/python -m tidegrade_bench bench --only '$(ONLY)'
+
 slopes: $(STAMP)
 	$(BIN)/python -m tidegrade_bench slopes
 
--- a/bench/tidegrade_bench/__main__.py
+++ b/bench/tidegrade_bench/__main__.py
@@ -1,13 +1,16 @@
 """``python -m tidegrade_bench COMMAND``."""
 
+import contextlib
 from typing import Annotated
 
 import anyio
 import typer
 
 from tidegrade_bench import _demo
+from tidegrade_bench import _experiments
 from tidegrade_bench import _slopes
 from tidegrade_bench import _soak
+from tidegrade_bench import _up
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -28,6 +31,21 @@
     raise typer.Exit(0 if ok else 1)
 
 
+@app.command()
+def up() -> None:
+    """Run a deployment to try things on, until interrupted."""
+    with contextlib.suppress(KeyboardInterrupt):
+        anyio.run(_up.run)
+
+
+@app.command()
+def bench(
+    only: Annotated[str, typer.Option(help='One experiment.')] = '',
+) -> None:
+    """Run the experiments."""
+    anyio.run(_experiments.run, only)
+
+
 @app.command()
 def slopes() -> None:
     """Measure costs against counts and write docs/CAPACITY-slopes.md."""
--- a/bench/tidegrade_bench/_deployment.py
+++ b/bench/tidegrade_bench/_deployment.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import typing
 
 import anyio
@@ -352,6 +353,7 @@
             },
             'initial_primary': own[0].name,
             'acknowledge': group.acknowledge,
+            'read_policy': group.read_policy,
             'read_classes': {
                 name: {'max_age_s': age}
                 for name, age in group.read_classes.items()
@@ -424,3 +426,21 @@
     def group_instances(self, group: _plan.GroupPlan) -> list[Instance]:
         """Give the instances of a group."""
         return [i for i in self.instances if i.group == group]
+
+
+class Running:
+    """A deployment that takes writes, for an ``async with`` block."""
+
+    def __init__(self, plan: _plan.Plan) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self._deployment = Deployment(plan, pathlib.Path(self._folder.name))
+
+    async def __aenter__(self) -> Deployment:
+        await self._deployment.start()
+        await self._deployment.apply_config()
+        await self._deployment.until_writable()
+        return self._deployment
+
+    async def __aexit__(self, *_: object) -> None:
+        self._deployment.stop()
+        self._folder.cleanup()
--- a/bench/tidegrade_bench/_plan.py
+++ b/bench/tidegrade_bench/_plan.py
@@ -17,6 +17,7 @@
     statement_cost_s: float = 0.0
     apply_delay_s: float = 0.02
     acknowledge: str = 'majority'
+    read_policy: str = 'session_replica'
     read_classes: dict[str, float | None] = attrs.field(factory=dict)
 
 
--- a/bench/tidegrade_bench/_slopes.py
+++ b/bench/tidegrade_bench/_slopes.py
@@ -7,7 +7,6 @@
 import platform
 import random
 import subprocess
-import tempfile
 import time
 
 import anyio
@@ -101,9 +100,7 @@
             initial_primary='a',
         )
         settings = core.MachineSettings('p', 'x', 9)
-        self._machine = core.GroupMachine(
-            cfg, settings, core.SessionReplica(), random.Random(seed)
-        )
+        self._machine = core.GroupMachine(cfg, settings, random.Random(seed))
         self._now = 0.0
         self._names: dict[int, str] = {}
         self._tell(core.Registered(True))
@@ -203,7 +200,7 @@
     """Measure a proxy's memory against open caller connections."""
     plan = attrs.evolve(_plan.DEMO, proxies=1)
     points = []
-    async with _running(plan) as deployment:
+    async with _deployment.Running(plan) as deployment:
         proxy = deployment.proxies[0]
         assert proxy.process is not None
         streams: list[anyio.abc.SocketStream] = []
@@ -228,7 +225,7 @@
     for count in PROXY_COUNTS:
         group = attrs.evolve(_plan.KANWA, max_connections=count + 9)
         plan = attrs.evolve(_plan.DEMO, groups=(group,), proxies=count)
-        async with _running(plan) as deployment:
+        async with _deployment.Running(plan) as deployment:
             await anyio.sleep(2.0)
             before = [_usage_of(p) for p in deployment.proxies]
             shown = await _platform_reads(deployment)
@@ -258,26 +255,6 @@
     return int(answer.json()['reads'])
 
 
-class _running:
-    """A deployment for the time of an ``async with`` block."""
-
-    def __init__(self, plan: _plan.Plan) -> None:
-        self._plan = plan
-        self._folder = tempfile.TemporaryDirectory()
-
-    async def __aenter__(self) -> _deployment.Deployment:
-        folder = pathlib.Path(self._folder.name)
-        self._deployment = _deployment.Deployment(self._plan, folder)
-        await self._deployment.start()
-        await self._deployment.apply_config()
-        await self._deployment.until_writable()
-        return self._deployment
-
-    async def __aexit__(self, *_: object) -> None:
-        self._deployment.stop()
-        self._folder.cleanup()
-
-
 async def run() -> list[_fit.Slope]:
     """Measure everything and write the page's table."""
     slopes = heartbeat_slopes()
--- a/src/tidegrade/adapters/_http_callers.py
+++ b/src/tidegrade/adapters/_http_callers.py
@@ -225,13 +225,15 @@
     status = common.STATUS_OF[code]
     if answer.outcome is core.Outcome.UNKNOWN:
         status = 504
-    return common.problem(
+    refused = common.problem(
         status,
         code.value,
         answer.detail,
         {'outcome': answer.outcome.value, 'request': request_id},
         answer.retry_after,
     )
+    refused.headers[common.REQUEST_ID] = request_id
+    return refused
 
 
 def _done_body(answer: core.Answer) -> dict[str, object]:
--- a/src/tidegrade/config/__init__.py
+++ b/src/tidegrade/config/__init__.py
@@ -6,6 +6,7 @@
 from tidegrade.config._document import Endpoint
 from tidegrade.config._document import Group
 from tidegrade.config._document import ReadClass
+from tidegrade.config._document import ReadPolicy
 from tidegrade.config._document import Site
 from tidegrade.config._document import Tenant
 
@@ -15,6 +16,7 @@
     'Endpoint',
     'Group',
     'ReadClass',
+    'ReadPolicy',
     'Site',
     'Tenant',
     'problems_of',
--- a/src/tidegrade/config/_document.py
+++ b/src/tidegrade/config/_document.py
@@ -14,6 +14,17 @@
     MAJORITY = 'majority'
 
 
+class ReadPolicy(enum.Enum):
+    """How reads are spread; all but the first are there to compare."""
+
+    #: A replica that covers the session, after a short wait if need be.
+    SESSION_REPLICA = 'session_replica'
+    #: The primary for everything.
+    PRIMARY_ONLY = 'primary_only'
+    #: The primary for five seconds after a write, then any replica.
+    PRIMARY_AFTER_WRITE = 'primary_after_write'
+
+
 @attrs.frozen
 class Endpoint:
     """One database instance.
@@ -50,6 +61,7 @@
     database: str = 'postgres'
     acknowledge: Acknowledge = Acknowledge.MAJORITY
     read_classes: dict[str, ReadClass] = attrs.field(factory=dict)
+    read_policy: ReadPolicy = ReadPolicy.SESSION_REPLICA
     suspect_after_s: float = 0.6
     poll_interval_s: float = 0.1
     txn_limit_s: float = 30.0
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -19,7 +19,6 @@
 from tidegrade.core import _reads
 from tidegrade.core import _registry
 from tidegrade.core import _retry
-from tidegrade.core import _routing
 from tidegrade.core import _row
 from tidegrade.core import _state
 from tidegrade.core import _txns
@@ -39,7 +38,6 @@
         self,
         cfg: config.Group,
         settings: _state.MachineSettings,
-        policy: _routing.ReadPolicy,
         rng: random.Random,
     ) -> None:
         state = _state.GroupState.create(cfg, settings, rng)
@@ -48,7 +46,7 @@
         self._budget = _retry.RetryBudget()
         self._confirmations = _confirm.Confirmations(state)
         self._polls = _polls.Polling(state, self._confirmations)
-        self._reads = _reads.ReadPath(state, self._registry, policy)
+        self._reads = _reads.ReadPath(state, self._registry)
         self._writes = _writes.WritePath(
             state, self._registry, self._confirmations, self._budget
         )
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -38,11 +38,9 @@
         self,
         state: _state.GroupState,
         registry: _registry.Registry,
-        policy: _routing.ReadPolicy,
     ) -> None:
         self._state = state
         self._registry = registry
-        self._policy = policy
 
     def place(self, pending: _pending.Pending, now: float) -> Placement:
         """Try to hand a read to an endpoint."""
@@ -124,7 +122,8 @@
     def _route(self, need: _routing.ReadNeed, now: float) -> _routing.Route:
         if need.max_age == 0:
             return _routing.ToPrimary()
-        return self._policy.route(need, self._replicas(now), now)
+        policy = _routing.policy_of(self._state.cfg.read_policy)
+        return policy.route(need, self._replicas(now), now)
 
     def _replicas(self, now: float) -> list[_routing.ReplicaState]:
         return [
--- a/src/tidegrade/core/_routing.py
+++ b/src/tidegrade/core/_routing.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from tidegrade import config
+
 #: Longest time a read waits for a replica to catch up, in seconds.
 MAX_REPLICA_WAIT = 0.3
 #: Share of the time left to the deadline that such a wait may take.
@@ -95,6 +97,15 @@
         return ToPrimary()
 
 
+def policy_of(choice: config.ReadPolicy) -> ReadPolicy:
+    """Give the policy that a configuration names."""
+    if choice is config.ReadPolicy.PRIMARY_ONLY:
+        return PrimaryOnly()
+    if choice is config.ReadPolicy.PRIMARY_AFTER_WRITE:
+        return PrimaryAfterWrite()
+    return SessionReplica()
+
+
 @attrs.frozen
 class PrimaryAfterWrite:
     """Reads stay on the primary for a while after a write; a baseline.
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -61,9 +61,7 @@
             deps.proxy_id, deps.cfg.domain, max_proxies
         )
         rng = random.Random(deps.rng.getrandbits(64))
-        self.machine = core.GroupMachine(
-            cfg, settings, core.SessionReplica(), rng
-        )
+        self.machine = core.GroupMachine(cfg, settings, rng)
         self._supervisor = core.Supervisor(str(key), deps.proxy_id, rng)
         self._conns: dict[int, _conn_task.ConnTask] = {}
         self._waiters: dict[int, _Waiter] = {}
--- a/standins/tidegrade_fakes/_run.py
+++ b/standins/tidegrade_fakes/_run.py
@@ -45,7 +45,6 @@
             'lag',
         }
     )
-    policy: core.ReadPolicy = attrs.field(factory=core.SessionReplica)
     acknowledge: config.Acknowledge = config.Acknowledge.MAJORITY
 
 
@@ -85,7 +84,7 @@
 
     def __init__(self, cfg: RunSettings) -> None:
         self._cfg = cfg
-        self._group = group_config(cfg.acknowledge)
+        self.group = group_config(cfg.acknowledge)
         self.world = _world.World(cfg.seed)
         self._rng = random.Random(cfg.seed ^ 0x5EED)
         self.account = _callers.Account()
@@ -107,9 +106,9 @@
         return self._summary()
 
     def _build(self) -> None:
-        for name in self._group.endpoints:
+        for name in self.group.endpoints:
             upstream = '' if name == 'a' else 'a'
-            cap = self._group.endpoints[name].max_connections
+            cap = self.group.endpoints[name].max_connections
             self.world.endpoints[name] = _endpoint.FakeEndpoint(
                 name, upstream, cap
             )
@@ -134,9 +133,8 @@
             self.world,
             name,
             domain,
-            self._group,
+            self.group,
             max_proxies=4,
-            policy=self._cfg.policy,
         )
 
     # Faults ---------------------------------------------------------------
@@ -169,14 +167,17 @@
         endpoint = self._pick_endpoint()
         if not all(e.alive for e in self.world.endpoints.values()):
             return
+        self._stop(endpoint)
+        self.world.at(
+            self._rng.uniform(0.3, 4.0), lambda: self._revive(endpoint)
+        )
+
+    def _stop(self, endpoint: _endpoint.FakeEndpoint) -> None:
         endpoint.alive = False
         for proxy in self.world.proxies.values():
             proxy.endpoint_died(endpoint)
         endpoint.txns.clear()
         endpoint.conns.clear()
-        self.world.at(
-            self._rng.uniform(0.3, 4.0), lambda: self._revive(endpoint)
-        )
 
     def _revive(self, endpoint: _endpoint.FakeEndpoint) -> None:
         endpoint.alive = True
@@ -218,16 +219,32 @@
     def _cut_domain(self) -> None:
         """Cut a failure domain from everything outside it."""
         domain = self._rng.choice(DOMAINS)
+        self._cut_off(domain, self._rng.uniform(0.5, 4.0))
+
+    def _cut_off(self, domain: str, seconds: float) -> None:
         inside: list[str] = []
         outside = ['table']
         for name in self.world.proxies:
             target = inside if name.endswith(f'.{domain}') else outside
             target.append(name)
-        for name, endpoint in self._group.endpoints.items():
+        for name, endpoint in self.group.endpoints.items():
             target = inside if endpoint.domain == domain else outside
             target.append(name)
         pairs = [frozenset((i, o)) for i in inside for o in outside]
-        self._cut(pairs, self._rng.uniform(0.5, 4.0))
+        self._cut(pairs, seconds)
+
+    def kill_primary(self) -> None:
+        """Kill the primary for good."""
+        row = self.world.table.row
+        if row is not None:
+            self._stop(self.world.endpoints[row.primary])
+
+    def cut_primary_domain(self) -> None:
+        """Cut the primary's failure domain off from everything else."""
+        row = self.world.table.row
+        if row is not None:
+            domain = self.group.endpoints[row.primary].domain
+            self._cut_off(domain, self._cfg.seconds)
 
     def _cut_peers(self) -> None:
         names = sorted(self.world.proxies)
--- a/standins/tidegrade_fakes/_world.py
+++ b/standins/tidegrade_fakes/_world.py
@@ -33,7 +33,13 @@
 
 
 class World:
-    """The clock, the random source and everything that fails."""
+    """The clock, the random source and everything that fails.
+
+    Without ``revocation`` proxies don't hear supervisors that ask them to
+    give up permissions; a baseline.
+    """
+
+    revocation = True
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
@@ -115,7 +121,6 @@
         domain: str,
         cfg: config.Group,
         max_proxies: int,
-        policy: core.ReadPolicy,
     ) -> None:
         self.world = world
         self.name = name
@@ -126,7 +131,7 @@
         self._rate = world.rng.uniform(0.97, 1.03)
         rng = random.Random(world.rng.getrandbits(64))
         settings = core.MachineSettings(name, domain, max_proxies)
-        self.machine = core.GroupMachine(cfg, settings, policy, rng)
+        self.machine = core.GroupMachine(cfg, settings, rng)
         self.supervisor = core.Supervisor('g', name, rng)
         self.notes: list[supervision.Note] = []
         self._conns: dict[int, _Sent] = {}
@@ -395,6 +400,8 @@
             self._tell(peer, functools.partial(peer.handle, event))
 
     def _ask_give_up(self, order: supervision.AskGiveUp) -> None:
+        if not self.world.revocation:
+            return
         for name in order.proxies:
             target = self.world.proxies.get(name)
             if target is None:
--- a/tests/core/test_reads.py
+++ b/tests/core/test_reads.py
@@ -34,9 +34,7 @@
             initial_primary='a',
         )
         settings = core.MachineSettings('p1', 'x', 1)
-        self.core = core.GroupMachine(
-            cfg, settings, core.SessionReplica(), random.Random(1)
-        )
+        self.core = core.GroupMachine(cfg, settings, random.Random(1))
         self.now = 50.0
         self.reports = {
             'a': report(100, in_recovery=False),
