Leave a frozen primary's requests, and pause before a primary that lacks data

Cause, first: callers saw a gap of 3.2 s when the primary was frozen, though the new term began after about one. Every session's write was held by a connection to the frozen primary until the caller's deadline of 3 s. Second: a read whose position the primary itself did not have was tried at the primary again and again without a pause; a unit test never ended. Third: a token newer than every poll of this proxy sent its read to the primary at once, instead of waiting for a replica.

Ruled out, for the first: the waiting out of permissions (all proxies answered, term 2 was published within a second); slow promotion.

Change: with a new term, what runs on a former primary is given up: a write whose commit was not sent goes on at the new primary, one with a key too. A missed read pauses with jitter from the third miss. The age of an unknown position counts from the request's arrival. Refusals say `too_stale` and `no_configuration` where that is the reason.

--- a/bench/tidegrade_bench/__main__.py
+++ b/bench/tidegrade_bench/__main__.py
@@ -8,6 +8,7 @@
 
 from tidegrade_bench import _demo
 from tidegrade_bench import _experiments
+from tidegrade_bench import _pages
 from tidegrade_bench import _slopes
 from tidegrade_bench import _soak
 from tidegrade_bench import _up
@@ -46,6 +47,12 @@
     anyio.run(_experiments.run, only)
 
 
+@app.command()
+def pages() -> None:
+    """Write the pages that are made from the program."""
+    _pages.write()
+
+
 @app.command()
 def slopes() -> None:
     """Measure costs against counts and write docs/CAPACITY-slopes.md."""
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -26,6 +26,9 @@
 from tidegrade.core import _view
 from tidegrade.core import _writes
 
+#: Jobs that only a primary runs for callers.
+_WRITING = (_jobs.StartJob, _jobs.ExecuteJob, _jobs.CommitJob)
+
 _TXN_KINDS = frozenset(
     {_types.Kind.EXECUTE, _types.Kind.COMMIT, _types.Kind.ROLLBACK}
 )
@@ -312,6 +315,7 @@
         rules = _permission.PermissionRules(row.members)
         self._state.permission.start_term(row.term, rules)
         self._state.samples.clear()
+        self._leave_others(row.primary, now)
         self._txns.end_elsewhere(row.primary, now)
         for pending in self._confirmations.take_before(row.term):
             again = self._writes.unsettled(
@@ -321,6 +325,21 @@
         self._polls.hurry()
         self._polls.poll_due(now)
 
+    def _leave_others(self, primary: str, now: float) -> None:
+        """Give up what runs on endpoints that no longer lead.
+
+        A frozen primary would hold its requests until their deadlines.
+        Reads on replicas go on: they are checked when they end.
+        """
+        for conn in self._state.pool:
+            report = self._state.views[conn.endpoint].report
+            led = report is not None and not report.in_recovery
+            reading = isinstance(conn.job, _jobs.ReadJob) and led
+            writing = isinstance(conn.job, _WRITING)
+            if conn.endpoint != primary and (reading or writing):
+                lost = _jobs.JobFailed(_jobs.Failure.LOST)
+                self._job_over(conn, lost, now)
+
     def _config_changed(
         self, event: _events.ConfigChanged, now: float
     ) -> None:
--- a/src/tidegrade/core/_pool.py
+++ b/src/tidegrade/core/_pool.py
@@ -91,10 +91,11 @@
         conns = self._by_endpoint.get(endpoint, ())
         return sum(conn.state is not ConnState.IDLE for conn in conns)
 
-    def pinned_count(self, endpoint: str) -> int:
-        """Count the connections held by interactive transactions."""
+    def in_use(self, endpoint: str) -> bool:
+        """Tell whether a connection works, so that waiting may help."""
+        busy = (ConnState.BUSY, ConnState.PINNED)
         conns = self._by_endpoint.get(endpoint, ())
-        return sum(conn.state is ConnState.PINNED for conn in conns)
+        return any(conn.state in busy for conn in conns)
 
     def may_open(self, endpoint: str, now: float) -> bool:
         """Tell whether the share and the pause allow another attempt."""
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -7,6 +7,7 @@
 from tidegrade.core import _pending
 from tidegrade.core import _pool
 from tidegrade.core import _registry
+from tidegrade.core import _retry
 from tidegrade.core import _routing
 from tidegrade.core import _row
 from tidegrade.core import _state
@@ -76,7 +77,7 @@
             return self._failed(pending, outcome)
         self._registry.service.served(now - sent_at)
         if not self._satisfies(pending, conn, outcome, now):
-            pending.misses += 1
+            self._missed(pending, now)
             return True
         self._answer(pending, conn, outcome, now)
         return False
@@ -109,7 +110,12 @@
     def _need(
         self, pending: _pending.Pending, lsn: int, now: float
     ) -> _routing.ReadNeed:
-        reached = self._state.samples.reached_at(lsn) if lsn else now
+        reached: float | None = now
+        if lsn:
+            reached = self._state.samples.reached_at(lsn)
+        if reached is None:
+            # Newer than every poll: it came with the request, at the latest.
+            reached = pending.arrived
         return _routing.ReadNeed(
             lsn=lsn,
             reached_at=reached,
@@ -168,11 +174,14 @@
         self, pending: _pending.Pending, row: _row.GroupRow, now: float
     ) -> Placement:
         pending.waiting_for = _types.Code.NO_PRIMARY
+        if pending.req.max_age is not None:
+            pending.waiting_for = _types.Code.TOO_STALE
         if not self._state.primary_takes_work(now):
             return Placement.PRIMARY
         conn = self._state.pool.idle(row.primary)
         if conn is None:
-            pending.waiting_for = _types.Code.OVERLOADED
+            if self._state.pool.in_use(row.primary):
+                pending.waiting_for = _types.Code.OVERLOADED
             self._state.open_if_allowed(row.primary, now)
             return Placement.PRIMARY
         return self._send(pending, row.primary, now)
@@ -204,6 +213,13 @@
         self._registry.refuse(pending, code, failed.detail)
         return False
 
+    def _missed(self, pending: _pending.Pending, now: float) -> None:
+        """Note an answer that doesn't satisfy; a pause precedes the next."""
+        pending.misses += 1
+        if pending.misses > _routing.MAX_MISSES:
+            pause = _retry.pause(pending.misses, self._state.rng)
+            pending.not_before = now + pause
+
     def _satisfies(
         self,
         pending: _pending.Pending,
--- a/src/tidegrade/core/_writes.py
+++ b/src/tidegrade/core/_writes.py
@@ -68,7 +68,8 @@
             return None
         conn = state.pool.idle(state.row.primary)
         if conn is None:
-            pending.waiting_for = _types.Code.OVERLOADED
+            if state.pool.in_use(state.row.primary):
+                pending.waiting_for = _types.Code.OVERLOADED
             state.open_if_allowed(state.row.primary, now)
             return None
         pending.sent_to = state.row.primary
--- a/src/tidegrade/daemon/_service.py
+++ b/src/tidegrade/daemon/_service.py
@@ -22,6 +22,8 @@
 TXN_KINDS = (core.Kind.EXECUTE, core.Kind.COMMIT, core.Kind.ROLLBACK)
 #: Kinds whose success is the acknowledgement of a write.
 ACKNOWLEDGING = (core.Kind.WRITE, core.Kind.COMMIT)
+#: When to come back to a proxy without a configuration, in seconds.
+CONFIG_RETRY = 1.0
 #: When to come back after a fault in reaching another proxy, in seconds.
 PEER_RETRY = 0.5
 
@@ -71,6 +73,12 @@
 
     async def call(self, call: ports.Call) -> ports.CallReply:
         """Serve one call; every outcome is an answer."""
+        if self.version == 0:
+            return _refused(
+                core.Code.NO_CONFIG,
+                'no configuration is in force here yet',
+                CONFIG_RETRY,
+            )
         tenant = self._tenant_of(call)
         if tenant is None:
             return _refused(core.Code.UNAUTHORIZED, 'the key opens nothing')
--- a/tests/core/test_reads.py
+++ b/tests/core/test_reads.py
@@ -43,6 +43,7 @@
         }
         self.endpoint_of: dict[int, str] = {}
         self.answers: dict[int, core.Answer] = {}
+        self.frozen: set[str] = set()
         self.jobs: list[tuple[str, core.Job]] = []
         self.tell(core.Registered(True))
         self.tell(core.RowSeen(ROW))
@@ -68,6 +69,8 @@
         if isinstance(command, core.RunJob):
             name = self.endpoint_of[command.conn]
             self.jobs.append((name, command.job))
+            if name in self.frozen:
+                return []
             found = self.reports[name]
             done = core.JobDone(found, after_lsn=found.lsn)
             return [core.JobEnded(command.conn, done)]
@@ -76,6 +79,26 @@
             self.answers[command.req_id] = command.answer
         return []
 
+    def write(self, req_id: int, key: str | None) -> None:
+        req = core.Request(
+            id=req_id,
+            tenant='t',
+            kind=core.Kind.WRITE,
+            deadline=self.now + 3.0,
+            statements=(core.Statement('UPDATE x'),),
+            key=key,
+        )
+        self.tell(core.RequestArrived(req))
+
+    def new_term(self) -> None:
+        """Let endpoint b lead term 2."""
+        for name in NAMES:
+            self.reports[name] = report(
+                200, marker=2, promised=2, in_recovery=name != 'b'
+            )
+        row = core.GroupRow(2, 'b', frozenset(NAMES), (core.Fork(1, 100),))
+        self.tell(core.RowSeen(row))
+
     def read(self, req_id: int, **changes) -> None:
         fields = {
             'id': req_id,
@@ -173,3 +196,52 @@
         machine.tick()
     assert machine.answers[1].outcome is core.Outcome.NOT_RUN
     assert machine.answers[1].retry_after > 0
+
+
+def test_a_bound_that_nobody_meets_is_told(machine):
+    """The primary is gone and the replicas grow older than the bound."""
+    for name in ('b', 'c'):
+        machine.reports[name] = report(50)
+    machine.tell(core.LeavingChanged(frozenset({'a'})))
+    for _ in range(120):
+        machine.tick()
+    machine.read(1, max_age=0.5, deadline=machine.now + 0.2)
+    for _ in range(20):
+        machine.tick()
+    assert machine.answers[1].code is core.Code.TOO_STALE
+    assert machine.answers[1].outcome is core.Outcome.NOT_RUN
+
+
+def test_a_primary_that_lacks_the_position_is_not_hammered(machine):
+    """It looped without end once: tries at the primary had no pause."""
+    machine.read(1, floor=core.Position(1, 10**6), deadline=machine.now + 1)
+    for _ in range(60):
+        machine.tick()
+    tries = [job for _, job in machine.jobs if isinstance(job, core.ReadJob)]
+    assert len(tries) < 60
+    assert machine.answers[1].outcome is core.Outcome.NOT_RUN
+
+
+def test_a_token_newer_than_every_sample_waits_for_a_replica(machine):
+    """The write was acknowledged through another proxy just now."""
+    machine.read(1, floor=core.Position(1, 150))
+    machine.reports['a'] = report(150, in_recovery=False)
+    machine.reports['b'] = machine.reports['c'] = report(150)
+    for _ in range(10):
+        machine.tick()
+    assert machine.answers[1].from_replica
+
+
+@pytest.mark.parametrize('key', [None, 'k'])
+def test_a_write_stuck_at_a_frozen_primary_goes_on_in_the_new_term(
+    machine, key
+):
+    """Real callers waited out their deadlines: 3.2 s instead of one."""
+    machine.frozen.add('a')
+    machine.write(1, key)
+    machine.tick()
+    machine.new_term()
+    for _ in range(20):
+        machine.tick()
+    assert machine.answers[1].outcome is core.Outcome.DONE
+    assert machine.answers[1].endpoint == 'b'
