--- /dev/null
+++ b/tests/core/machines.py
@@ -0,0 +1,109 @@
+"""A group machine whose connections answer as they are told."""
+
+import random
+
+from tidegrade import config
+from tidegrade import core
+
+NAMES = ('a', 'b', 'c')
+ROW = core.GroupRow(1, 'a', frozenset(NAMES))
+
+
+def report(lsn: int, **changes) -> core.EndpointReport:
+    fields = {
+        'in_recovery': True,
+        'lsn': lsn,
+        'received_lsn': lsn,
+        'marker': 1,
+        'promised': 0,
+        **changes,
+    }
+    return core.EndpointReport(**fields)
+
+
+class Machine:
+    """A group machine whose connections answer as they are told."""
+
+    def __init__(self) -> None:
+        cfg = config.Group(
+            endpoints={
+                n: config.Endpoint(n, 1, 'x', max_connections=2) for n in NAMES
+            },
+            initial_primary='a',
+        )
+        settings = core.MachineSettings('p1', 'x', 1)
+        self.core = core.GroupMachine(cfg, settings, random.Random(1))
+        self.now = 50.0
+        self.reports = {
+            'a': report(100, in_recovery=False),
+            'b': report(100),
+            'c': report(100),
+        }
+        self.endpoint_of: dict[int, str] = {}
+        self.answers: dict[int, core.Answer] = {}
+        self.frozen: set[str] = set()
+        self.jobs: list[tuple[str, core.Job]] = []
+        self.tell(core.Registered(True))
+        self.tell(core.RowSeen(ROW))
+        for _ in range(3):
+            self.tick()
+
+    def tick(self, seconds: float = 0.02) -> None:
+        self.now += seconds
+        self.tell(core.Tick())
+
+    def tell(self, event: core.Event) -> None:
+        waiting = [event]
+        while waiting:
+            for command in self.core.handle(waiting.pop(0), self.now):
+                waiting.extend(self._carry_out(command))
+
+    def _carry_out(self, command: core.Command) -> list[core.Event]:
+        if isinstance(command, core.OpenConn):
+            self.endpoint_of[command.conn] = command.endpoint
+            return [core.ConnOpened(command.conn)]
+        if isinstance(command, core.CloseConn):
+            return [core.ConnClosed(command.conn)]
+        if isinstance(command, core.RunJob):
+            name = self.endpoint_of[command.conn]
+            self.jobs.append((name, command.job))
+            if name in self.frozen:
+                return []
+            found = self.reports[name]
+            done = core.JobDone(found, after_lsn=found.lsn)
+            return [core.JobEnded(command.conn, done)]
+        if isinstance(command, core.Reply):
+            assert command.req_id not in self.answers
+            self.answers[command.req_id] = command.answer
+        return []
+
+    def write(self, req_id: int, key: str | None) -> None:
+        req = core.Request(
+            id=req_id,
+            tenant='t',
+            kind=core.Kind.WRITE,
+            deadline=self.now + 3.0,
+            statements=(core.Statement('UPDATE x'),),
+            key=key,
+        )
+        self.tell(core.RequestArrived(req))
+
+    def new_term(self) -> None:
+        """Let endpoint b lead term 2."""
+        for name in NAMES:
+            self.reports[name] = report(
+                200, marker=2, promised=2, in_recovery=name != 'b'
+            )
+        row = core.GroupRow(2, 'b', frozenset(NAMES), (core.Fork(1, 100),))
+        self.tell(core.RowSeen(row))
+
+    def read(self, req_id: int, **changes) -> None:
+        fields = {
+            'id': req_id,
+            'tenant': 't',
+            'kind': core.Kind.READ,
+            'deadline': self.now + 1.0,
+            'statements': (core.Statement('SELECT 1'),),
+            **changes,
+        }
+        self.tell(core.RequestArrived(core.Request(**fields)))
