Use one loader for the demonstration and the experiments

Cause: reading as a newcomer, the demonstration and the experiments started the same sessions in two places, and the group machine held the taking in of reports, which is a job of its own.

Ruled out: splitting the supervisor now; its steps read in their order, and it is the next large file to look at.

Change: bench/_load.py for both; core/_reports.py.

--- a/bench/tidegrade_bench/_demo.py
+++ b/bench/tidegrade_bench/_demo.py
@@ -2,27 +2,24 @@
 
 import json
 import pathlib
-import random
 import tempfile
 import time
 
 import anyio
-import httpx
 from rich import console
 from rich import table
 
-from tidegrade_bench import _caller
 from tidegrade_bench import _deployment
 from tidegrade_bench import _ledger
+from tidegrade_bench import _load
 from tidegrade_bench import _plan
 from tidegrade_bench import _workload
 
 #: Length of the load, in seconds; the kill comes half-way.
 LOAD_SECONDS = 16.0
-SEED = 20261202
 
 #: Sessions of each kind: group, kind, how many, mean pause in seconds.
-MIX = (
+MIX: _load.Mix = (
     (_plan.KANWA, _workload.dashboard, 12, 0.05),
     (_plan.KANWA, _workload.logger, 4, 0.1),
     (_plan.KANWA, _workload.crew, 4, 0.2),
@@ -48,50 +45,18 @@
     await deployment.until_writable()
     print(f'deployment up after {time.monotonic() - began:.1f} s')
     ledger = _ledger.Ledger()
-    limits = httpx.Limits(max_connections=200)
-    async with httpx.AsyncClient(limits=limits, trust_env=False) as http:
-        await _load(deployment, ledger, http)
+    async with _load.loaded(deployment, ledger, MIX):
+        await _fail_half_way(deployment)
     verdict = _ledger.compare(ledger, deployment, _plan.DEMO.groups)
     return _report(ledger, verdict)
 
 
-async def _load(
-    deployment: _deployment.Deployment,
-    ledger: _ledger.Ledger,
-    http: httpx.AsyncClient,
-) -> None:
-    rng = random.Random(SEED)
-    urls = [proxy.url for proxy in deployment.proxies]
-    until = anyio.Event()
-    for group in _plan.DEMO.groups:
-        caller = _caller.Caller(
-            http, urls, group.site, group.name, 'tenant-a', rng
-        )
-        for statement in _workload.TABLES:
-            said = await caller.write([(statement, [])])
-            if not said.done:
-                raise RuntimeError(f'no tables: {said}')
-    async with anyio.create_task_group() as tasks:
-        for group, kind, count, pause in MIX:
-            for index in range(count):
-                name = f'{kind.__name__}-{index}'
-                tenant = _plan.DEMO.tenants[index % 2]
-                session = _workload.Session(
-                    name,
-                    group.name,
-                    _caller.Caller(
-                        http, urls, group.site, group.name, tenant, rng
-                    ),
-                    ledger,
-                    rng,
-                )
-                tasks.start_soon(_workload.repeat, session, kind, pause, until)
-        await anyio.sleep(LOAD_SECONDS / 2)
-        victim = deployment.group_instances(_plan.RODOVIVA)[0]
-        print(f'killing {victim.name}, the primary of {victim.group.name}')
-        victim.process.kill()
-        await anyio.sleep(LOAD_SECONDS / 2)
-        until.set()
+async def _fail_half_way(deployment: _deployment.Deployment) -> None:
+    await anyio.sleep(LOAD_SECONDS / 2)
+    victim = deployment.group_instances(_plan.RODOVIVA)[0]
+    print(f'killing {victim.name}, the primary of {victim.group.name}')
+    victim.process.kill()
+    await anyio.sleep(LOAD_SECONDS / 2)
 
 
 def _report(ledger: _ledger.Ledger, verdict: _ledger.Verdict) -> bool:
--- a/bench/tidegrade_bench/_experiments.py
+++ b/bench/tidegrade_bench/_experiments.py
@@ -1,29 +1,24 @@
 """Experiments that measure the decisions, each beside its baselines."""
 
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import json
-import random
 import statistics
 
 import anyio
 import attrs
-import httpx
 from rich import console
 from rich import table
 import tidegrade_fakes as fakes
 
 from tidegrade import config
-from tidegrade_bench import _caller
 from tidegrade_bench import _deployment
 from tidegrade_bench import _ledger
+from tidegrade_bench import _load
 from tidegrade_bench import _plan
 from tidegrade_bench import _workload
 from tidegrade_fakes import _run as fake_run
 
-SEED = 5
 #: Length of a load, in seconds.
 LOAD_SECONDS = 6.0
 #: Repetitions of a failover on real processes, and in virtual time.
@@ -55,55 +50,6 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-@contextlib.asynccontextmanager
-async def loaded(
-    deployment: _deployment.Deployment,
-    ledger: _ledger.Ledger,
-    mix: tuple[tuple[_plan.GroupPlan, _workload.Kind, int, float], ...],
-) -> AsyncIterator[None]:
-    """Load a deployment for the time of a block."""
-    rng = random.Random(SEED)
-    urls = [proxy.url for proxy in deployment.proxies]
-    limits = httpx.Limits(max_connections=300)
-    until = anyio.Event()
-    async with httpx.AsyncClient(limits=limits, trust_env=False) as http:
-        await _make_tables(deployment, http, urls, rng)
-        async with anyio.create_task_group() as tasks:
-            for group, kind, count, pause in mix:
-                for index in range(count):
-                    caller = _caller.Caller(
-                        http, urls, group.site, group.name, 'tenant-a', rng
-                    )
-                    session = _workload.Session(
-                        f'{kind.__name__}-{index}',
-                        group.name,
-                        caller,
-                        ledger,
-                        rng,
-                    )
-                    tasks.start_soon(
-                        _workload.repeat, session, kind, pause, until
-                    )
-            yield
-            until.set()
-
-
-async def _make_tables(
-    deployment: _deployment.Deployment,
-    http: httpx.AsyncClient,
-    urls: list[str],
-    rng: random.Random,
-) -> None:
-    for group in deployment.plan.groups:
-        caller = _caller.Caller(
-            http, urls, group.site, group.name, 'tenant-a', rng
-        )
-        for statement in _workload.TABLES:
-            said = await caller.write([(statement, [])])
-            if not said.done:
-                raise RuntimeError(f'no tables: {said}')
-
-
 # Replica share ------------------------------------------------------------
 
 
@@ -118,7 +64,7 @@
     )
     async with (
         _deployment.Running(plan) as deployment,
-        loaded(deployment, ledger, mix),
+        _load.loaded(deployment, ledger, mix),
     ):
         if behind:
             # From here on, so that the tables are there.
@@ -190,7 +136,7 @@
         (group, _workload.timetable, 4, 0.05),
     )
     async with _deployment.Running(plan) as deployment:
-        async with loaded(deployment, ledger, mix):
+        async with _load.loaded(deployment, ledger, mix):
             await anyio.sleep(LOAD_SECONDS / 3)
             await fail(deployment)
             await anyio.sleep(LOAD_SECONDS)
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -18,6 +18,7 @@
 from tidegrade.core import _pool
 from tidegrade.core import _reads
 from tidegrade.core import _registry
+from tidegrade.core import _reports
 from tidegrade.core import _retry
 from tidegrade.core import _row
 from tidegrade.core import _state
@@ -214,7 +215,9 @@
         if conn.state is _pool.ConnState.BUSY:
             conn.state = _pool.ConnState.IDLE
         if isinstance(outcome, _jobs.JobDone):
-            self._observe(conn.endpoint, outcome.report, sent_at, now)
+            _reports.observe(
+                self._state, conn.endpoint, outcome.report, sent_at, now
+            )
         else:
             self._job_failed(conn, outcome, now)
         self._tell_owner(conn, job, owner, outcome, sent_at, now)
@@ -263,44 +266,6 @@
             return self._txns.begun(pending, conn, outcome, now)
         return self._writes.started(pending, conn, outcome, now)
 
-    # Reports --------------------------------------------------------------
-
-    def _observe(
-        self,
-        name: str,
-        report: _types.EndpointReport,
-        sent_at: float,
-        now: float,
-    ) -> None:
-        state = self._state
-        state.views[name].reported(report, sent_at, now)
-        state.permission.answered(name, report.promised, sent_at)
-        row = state.row
-        if row is None:
-            return
-        if max(report.marker, report.promised) > row.term:
-            state.order(_events.FetchRow())
-        if not state.is_current(name, report):
-            return
-        if name == row.primary:
-            state.samples.add(sent_at, report.lsn)
-        else:
-            self._measure_delay(name, report.lsn, sent_at)
-
-    def _measure_delay(self, name: str, applied: int, sent_at: float) -> None:
-        """Hold the delay of a replica within what its report shows."""
-        samples = self._state.samples
-        view = self._state.views[name]
-        longest = sent_at - samples.fresh_at(applied)
-        lacks_since = samples.reached_at(applied + 1)
-        shortest = 0.0
-        if lacks_since is not None:
-            shortest = sent_at - lacks_since
-        if longest == float('inf'):
-            longest = max(shortest, view.apply_delay)
-        delay = min(max(view.apply_delay, shortest), max(longest, 0.0))
-        view.measured_delay(delay)
-
     # The term, the configuration and the peers ----------------------------
 
     def _row_seen(self, event: _events.RowSeen, now: float) -> None:
--- /dev/null
+++ b/src/tidegrade/core/_reports.py
@@ -0,0 +1,48 @@
+"""Taking in what endpoints report beside every statement."""
+
+from tidegrade.core import _events
+from tidegrade.core import _state
+from tidegrade.core import _types
+
+
+def observe(
+    state: _state.GroupState,
+    name: str,
+    report: _types.EndpointReport,
+    sent_at: float,
+    now: float,
+) -> None:
+    """Take in a report of an endpoint whose request left at ``sent_at``.
+
+    It renews the view of the endpoint, its grant of the permission, the
+    primary's positions over time, and the delay of a replica.
+    """
+    state.views[name].reported(report, sent_at, now)
+    state.permission.answered(name, report.promised, sent_at)
+    row = state.row
+    if row is None:
+        return
+    if max(report.marker, report.promised) > row.term:
+        state.order(_events.FetchRow())
+    if not state.is_current(name, report):
+        return
+    if name == row.primary:
+        state.samples.add(sent_at, report.lsn)
+    else:
+        _measure_delay(state, name, report.lsn, sent_at)
+
+
+def _measure_delay(
+    state: _state.GroupState, name: str, applied: int, sent_at: float
+) -> None:
+    """Hold the delay of a replica within what its report shows."""
+    view = state.views[name]
+    longest = sent_at - state.samples.fresh_at(applied)
+    lacks_since = state.samples.reached_at(applied + 1)
+    shortest = 0.0
+    if lacks_since is not None:
+        shortest = sent_at - lacks_since
+    if longest == float('inf'):
+        longest = max(shortest, view.apply_delay)
+    delay = min(max(view.apply_delay, shortest), max(longest, 0.0))
+    view.measured_delay(delay)
