Ask the primary when a lagging replica fails a statement

Since reads wait for a replica that is predicted to be ready, they also reach one that isn't; a failed statement aborts the transaction, so no report came with it, and the replica's error was taken for the answer.

Ruled out: a wrong position check (no result was returned); the test's own timing (the session's position was past all that the replicas had).

Change: an error counts only from the primary, or from a replica whose earlier report covers the session; else the read goes to the primary.

--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -74,7 +74,7 @@
         """Take in the end of a read; tell whether it must be tried again."""
         pending.sent_to = ''
         if isinstance(outcome, _jobs.JobFailed):
-            return self._failed(pending, outcome)
+            return self._failed(pending, conn, outcome)
         self._registry.service.served(now - sent_at)
         if not self._satisfies(pending, conn, outcome, now):
             self._missed(pending, now)
@@ -201,11 +201,19 @@
     # Answers --------------------------------------------------------------
 
     def _failed(
-        self, pending: _pending.Pending, failed: _jobs.JobFailed
+        self,
+        pending: _pending.Pending,
+        conn: _pool.Conn,
+        failed: _jobs.JobFailed,
     ) -> bool:
         if failed.failure is _jobs.Failure.LOST:
             pending.waiting_for = _types.Code.CONN_LOST
             return True
+        timeout = failed.failure is _jobs.Failure.TIMEOUT
+        if not timeout and not self._speaks_for(conn.endpoint, pending):
+            # It may lack what the statement needs: ask the primary.
+            pending.misses += _routing.MAX_MISSES
+            return True
         code = {
             _jobs.Failure.STATEMENT: _types.Code.STATEMENT_FAILED,
             _jobs.Failure.TOO_LARGE: _types.Code.RESULT_TOO_LARGE,
@@ -213,6 +221,22 @@
         self._registry.refuse(pending, code, failed.detail)
         return False
 
+    def _speaks_for(self, name: str, pending: _pending.Pending) -> bool:
+        """Tell whether an endpoint was known to have what the read needs.
+
+        A failed statement brings no report, so only an earlier one counts;
+        positions never go back within a term.
+        """
+        state = self._state
+        if state.row is None or name == state.row.primary:
+            return True
+        report = state.views[name].report
+        floor = _row.floor_lsn(state.row, pending.req.floor)
+        if report is None or floor.is_err():
+            return False
+        current = state.is_current(name, report)
+        return current and report.lsn >= floor.unwrap()
+
     def _missed(self, pending: _pending.Pending, now: float) -> None:
         """Note an answer that doesn't satisfy; a pause precedes the next."""
         pending.misses += 1
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -42,6 +42,7 @@
         self.endpoint_of: dict[int, str] = {}
         self.answers: dict[int, core.Answer] = {}
         self.frozen: set[str] = set()
+        self.failing: set[str] = set()
         self.jobs: list[tuple[str, core.Job]] = []
         self.tell(core.Registered(True))
         self.tell(core.RowSeen(ROW))
@@ -69,6 +70,9 @@
             self.jobs.append((name, command.job))
             if name in self.frozen:
                 return []
+            if name in self.failing and isinstance(command.job, core.ReadJob):
+                failed = core.JobFailed(core.Failure.STATEMENT, usable=True)
+                return [core.JobEnded(command.conn, failed)]
             found = self.reports[name]
             done = core.JobDone(found, after_lsn=found.lsn)
             return [core.JobEnded(command.conn, done)]
--- a/tests/core/test_reads.py
+++ b/tests/core/test_reads.py
@@ -139,3 +139,20 @@
         machine.tick()
     assert machine.answers[1].outcome is core.Outcome.DONE
     assert machine.answers[1].endpoint == 'b'
+
+
+def test_an_error_of_a_replica_that_lags_is_not_the_answer(machine):
+    """It lacked a table that the session had seen made: a false 422."""
+    machine.failing = {'b', 'c'}
+    machine.read(1, floor=core.Position(1, 150))
+    machine.reports['a'] = machines.report(150, in_recovery=False)
+    for _ in range(20):
+        machine.tick()
+    assert machine.answers[1].outcome is core.Outcome.DONE
+    assert machine.answers[1].endpoint == 'a'
+
+
+def test_an_error_of_a_replica_that_covers_is_the_answer(machine):
+    machine.failing = {'b', 'c'}
+    machine.read(1, floor=core.Position(1, 100))
+    assert machine.answers[1].code is core.Code.STATEMENT_FAILED
