Notice connections that have gone silent

Cause: nothing on a connection without traffic shows that the other side no longer hears. The feed of the configuration waited 20 s at the store and 5 s more before it was given up, so a version accepted after the silence began came into force up to 25 s late. A link between proxies was never given up: its questions went unanswered, and every proxy asked the instances itself.

Ruled out: shorter waits of every proxy's feed (each call is billed, nine times as many); TCP's own limits alone (a middlebox that goes on acknowledging would hide the silence, as the relay of the tests does).

The stand-in has relays that delay, reset and silence connections.

--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -38,6 +38,11 @@
     CONFIG_REFUSED = (1203, logging.ERROR, 'a configuration is unusable')
     CONFIG_APPLIED = (1204, logging.INFO, 'an operator applied a file')
     CONFIG_CONFLICT = (1205, logging.INFO, 'another file was applied first')
+    CONFIG_FROM_PEER = (
+        1206,
+        logging.WARNING,
+        'a configuration came from another proxy first',
+    )
     TERM_SEEN = (1301, logging.INFO, 'a group has a new term')
     TERM_ENDING = (1302, logging.WARNING, 'this proxy ends a term')
     TERM_BEGUN = (1303, logging.WARNING, 'this proxy began a term')
@@ -45,6 +50,7 @@
     ROW_MALFORMED = (1305, logging.ERROR, 'a group row is unreadable')
     ORDER_ENDED = (1306, logging.INFO, 'an order to an endpoint ended')
     PEER_REFUSED = (1401, logging.WARNING, 'a peer is not genuine')
+    PEER_SILENT = (1404, logging.WARNING, 'a link to a peer went silent')
     CUT_OFF = (
         1402,
         logging.WARNING,
--- a/src/tidegrade/peers/_links.py
+++ b/src/tidegrade/peers/_links.py
@@ -11,6 +11,7 @@
 import attrs
 
 from tidegrade import logs
+from tidegrade import net
 from tidegrade.peers import _frames
 from tidegrade.peers import _messages as messages
 
@@ -18,6 +19,11 @@
 RECONNECT_PAUSE = 0.2
 #: Time that connecting may take, in seconds.
 CONNECT_TIMEOUT = 1.0
+#: A link on which nothing came for this long is probed, in seconds; the
+#: other side answers questions only.
+PROBE_AFTER = 0.8
+#: Time that the answer to a probe may take, in seconds.
+PROBE_LIMIT = 0.6
 #: Messages that wait for a link; more are dropped, oldest kept.
 LINK_QUEUE = 256
 #: Connections that other proxies may hold to this one.
@@ -52,6 +58,7 @@
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Question] = {}
         self.connected = False
+        self._heard_at = 0.0
         self._send, self._receive = anyio.create_memory_object_stream[
             messages.PeerMessage
         ](LINK_QUEUE)
@@ -115,13 +122,16 @@
                 self._address.host, self._address.port
             )
         async with stream:
+            net.watch(stream)
             with anyio.fail_after(CONNECT_TIMEOUT):
                 frames = await _frames.open_frames(
                     stream, self._key, connects=True
                 )
             self.connected = True
+            self._heard_at = anyio.current_time()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write, frames, tasks.cancel_scope)
+                tasks.start_soon(self._probe, tasks.cancel_scope)
                 await self._read(frames)
                 tasks.cancel_scope.cancel()
 
@@ -134,10 +144,25 @@
                 await frames.send(messages.encode(message))
         scope.cancel()
 
+    async def _probe(self, scope: anyio.CancelScope) -> None:
+        """Give the connection up once it has gone silent."""
+        while True:
+            rest = self._heard_at + PROBE_AFTER - anyio.current_time()
+            if rest > 0:
+                await anyio.sleep(rest)
+                continue
+            asked = await self.ask(messages.Probe(), PROBE_LIMIT)
+            if asked.answer is None:
+                logs.write(
+                    logs.LogEvent.PEER_SILENT, address=str(self._address)
+                )
+                scope.cancel()
+
     async def _read(self, frames: _frames.FrameStream) -> None:
         try:
             while True:
                 message = messages.decode(await frames.receive())
+                self._heard_at = anyio.current_time()
                 question = self._waiting.get(message.number)
                 if question is not None:
                     question.answer = message.body
@@ -188,6 +213,7 @@
     async def _peer(self, stream: anyio.abc.SocketStream) -> None:
         async with stream, self._limit:
             try:
+                net.watch(stream)
                 with anyio.fail_after(CONNECT_TIMEOUT):
                     frames = await _frames.open_frames(
                         stream, self._key, connects=False
@@ -201,7 +227,10 @@
             try:
                 while True:
                     message = messages.decode(await frames.receive())
-                    if message.number:
+                    if isinstance(message.body, messages.Probe):
+                        probed = messages.Probed()
+                        await self._reply(frames, probed, message.number)
+                    elif message.number:
                         tasks.start_soon(self._answer, frames, message)
                     else:
                         await self._handler(message.body)
@@ -216,11 +245,18 @@
         self, frames: _frames.FrameStream, message: messages.PeerMessage
     ) -> None:
         body = await self._handler(message.body)
-        if body is None:
-            return
+        if body is not None:
+            await self._reply(frames, body, message.number)
+
+    async def _reply(
+        self,
+        frames: _frames.FrameStream,
+        body: messages.PeerBody,
+        number: int,
+    ) -> None:
         with contextlib.suppress(*_GONE):
             await frames.send(
-                messages.encode(messages.PeerMessage(body, message.number))
+                messages.encode(messages.PeerMessage(body, number))
             )
 
 
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -133,6 +133,16 @@
     seen: tuple[GroupEvidence, ...]
 
 
+@attrs.frozen
+class Probe:
+    """Asks whether the connection still works."""
+
+
+@attrs.frozen
+class Probed:
+    """Answers :class:`Probe`."""
+
+
 PeerBody = (
     Heartbeat
     | GiveUp
@@ -144,6 +154,8 @@
     | Forwarded
     | AskEvidence
     | EvidenceAnswer
+    | Probe
+    | Probed
 )
 
 
@@ -273,6 +285,14 @@
             part.ageUs = _age_us(grant.at)
 
 
+def _put_probe(wire: typing.Any, body: Probe) -> None:
+    wire.probe = None
+
+
+def _put_probed(wire: typing.Any, body: Probed) -> None:
+    wire.probed = None
+
+
 def _age_us(at: float) -> int:
     """Give a negative age in seconds as microseconds, rounded up."""
     return max(0, math.ceil(-at * 1e6))
@@ -289,6 +309,8 @@
     Forwarded: _put_forwarded,
     AskEvidence: _put_ask_evidence,
     EvidenceAnswer: _put_evidence,
+    Probe: _put_probe,
+    Probed: _put_probed,
 }
 
 # Decoders -----------------------------------------------------------------
@@ -378,4 +400,6 @@
         tuple(_key_of(part) for part in w.askEvidence)
     ),
     'evidence': _get_evidence,
+    'probe': lambda w: Probe(),
+    'probed': lambda w: Probed(),
 }
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -98,5 +98,7 @@
     forwarded @8 :Forwarded;
     askEvidence @9 :List(GroupName);
     evidence @10 :List(GroupEvidence);
+    probe @11 :Void;       # asks whether the connection still works
+    probed @12 :Void;
   }
 }
--- a/src/tidegrade/ports/_sessions.py
+++ b/src/tidegrade/ports/_sessions.py
@@ -37,6 +37,16 @@
     async def next_catalogue(self) -> sessions.Catalogue:
         """Give the configuration; after the first, wait for a change."""
 
+    def watch_closely(self, watching: bool) -> None:
+        """Say whether this proxy looks out for the others."""
+
+    @property
+    def document(self) -> bytes:
+        """Give the newest configuration as it is stored, for peers."""
+
+    def offer(self, document: bytes) -> None:
+        """Take in the configuration as another proxy has it."""
+
 
 class SessionService(typing.Protocol):
     """Serves the sessions that a door brings."""
--- a/src/tidegrade/session_proxy/_peer_service.py
+++ b/src/tidegrade/session_proxy/_peer_service.py
@@ -1,5 +1,7 @@
 """What other proxies may ask of this one."""
 
+import anyio.abc
+
 from tidegrade.codec import _rows
 from tidegrade import core
 from tidegrade.daemon import _evidence_task
@@ -7,6 +9,7 @@
 from tidegrade.daemon import _peers_task
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
+from tidegrade.session_proxy import _config_news
 
 
 class PeerService:
@@ -18,22 +21,29 @@
         peers: _peers_task.PeersTask,
         groups: dict[messages.GroupKey, _group_task.GroupTask],
         evidence: _evidence_task.EvidenceTask,
+        config_news: _config_news.ConfigNews,
+        tasks: anyio.abc.TaskGroup,
     ) -> None:
         self._proxy_id = proxy_id
         self._peers = peers
         self._groups = groups
         self._evidence = evidence
+        self._config_news = config_news
+        self._tasks = tasks
 
     def handle(self, body: messages.PeerBody) -> messages.PeerBody | None:
         """Take a message and give the answer, if it wants one."""
         if isinstance(body, messages.Heartbeat):
             self._peers.heard(body)
+            self._config_news.heard(body, self._tasks)
         elif isinstance(body, messages.GiveUp):
             return self._give_up(body)
         elif isinstance(body, messages.RowNews):
             self._row_news(body)
         elif isinstance(body, messages.AskEvidence):
             return self._evidence.answer(body)
+        elif isinstance(body, messages.AskConfig):
+            return self._config_news.answer(body)
         return None
 
     def _give_up(self, body: messages.GiveUp) -> messages.GaveUp | None:
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -19,6 +19,7 @@
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
 from tidegrade.session_proxy import _accounts
+from tidegrade.session_proxy import _config_news
 from tidegrade.session_proxy import _groups
 from tidegrade.session_proxy import _isolation
 from tidegrade.session_proxy import _members
@@ -111,8 +112,11 @@
         self._evidence = _evidence_task.EvidenceTask(
             deps, peers, lambda: self._groups
         )
-        self._peer_service = _peer_service.PeerService(
-            deps.proxy_id, peers, self._groups, self._evidence
+        self._news = _config_news.ConfigNews(
+            deps.proxy_id,
+            self._outside.directory,
+            peers,
+            self._config_version,
         )
         self._isolation = _isolation.Isolation(deps.domain, deps.clock, peers)
         registration = _registration.Registration(deps, self._registered)
@@ -121,10 +125,19 @@
         )
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            self._peer_service = _peer_service.PeerService(
+                deps.proxy_id,
+                peers,
+                self._groups,
+                self._evidence,
+                self._news,
+                tasks,
+            )
             await tasks.start(peers.run)
             tasks.start_soon(registration.run)
             tasks.start_soon(members.run)
             tasks.start_soon(self._evidence.run)
+            tasks.start_soon(self._news.run)
             tasks.start_soon(self._watch_catalogue)
             tasks.start_soon(self._watch_endpoints)
             tasks.start_soon(self._watch_signals)
@@ -262,6 +275,11 @@
             self._metrics.config_version.set({}, found.version)
             logs.write(logs.LogEvent.CONFIG_ADOPTED, version=found.version)
             self._adopt()
+            self._news.adopted()
+
+    def _config_version(self) -> int:
+        """Give the version in force; 0 before the first."""
+        return self._catalogue.version if self._catalogue else 0
 
     async def _watch_endpoints(self) -> None:
         while True:
@@ -321,13 +339,12 @@
     # Peers ----------------------------------------------------------------
 
     def _heartbeat(self) -> messages.Heartbeat:
-        version = self._catalogue.version if self._catalogue else 0
         return messages.Heartbeat(
             proxy=self._proxy_id,
             domain=self._cfg.domain,
             host=self._cfg.host,
             port=self._cfg.peer_port,
-            config_version=version,
+            config_version=self._config_version(),
             draining=self._stopping.is_set(),
             opinions=tuple(g.opinion() for g in self._groups.values()),
         )
--- a/standins/tidegrade_edge/_site.py
+++ b/standins/tidegrade_edge/_site.py
@@ -21,6 +21,7 @@
 
 from tidegrade_edge import _client
 from tidegrade_edge import _instance
+from tidegrade_edge import _relay
 from tidegrade_edge import _store
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -33,13 +34,18 @@
 
 @attrs.frozen
 class SiteSettings:
-    """The shape of a site; times in seconds."""
+    """The shape of a site; times in seconds.
+
+    Where it is ``relayed``, all connections of proxies to the store and to
+    instances run through relays, which can disturb them.
+    """
 
     service: str = 'svc-1'
     proxies: int = 3
     promote_delay: float = 0.2
     drain_ms: int = 7000
     grace_s: float = 3.0
+    relayed: bool = False
 
 
 @attrs.define
@@ -76,6 +82,10 @@
         self.promotions: list[tuple[str, str, int]] = []
         self._folder = folder
         self._api_port = 0
+        #: What stands between each proxy and the store, by its number.
+        self.store_relays: list[_relay.Relay] = []
+        #: What stands between the proxies and each instance, by its id.
+        self.relays: dict[str, _relay.Relay] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._config_version = 0
         self._met: dict[str, float] = {}
@@ -98,8 +108,15 @@
             routing.Route('/promote', self._promote, methods=['POST'])
         )
         tasks.start_soon(self._serve_api, app, sock)
+        for _ in range(self.cfg.proxies):
+            relay = _relay.Relay(self._api_port)
+            self.store_relays.append(relay)
+            await tasks.start(relay.serve)
         for instance in self.instances:
             await tasks.start(instance.serve)
+            relay = _relay.Relay(instance.port)
+            self.relays[instance.id] = relay
+            await tasks.start(relay.serve)
         tasks.start_soon(self._replicate)
         tasks.start_soon(self._beat)
         self.configure()
@@ -221,7 +238,7 @@
                     continue
                 entry = {
                     'service': instance.service,
-                    'address': f'127.0.0.1:{instance.port}',
+                    'address': f'127.0.0.1:{self._port_of(instance)}',
                     'zone': instance.zone,
                     'version': 'v1',
                     'slots': 3,
@@ -234,12 +251,22 @@
                 self.store.put('servers', instance.id, value)
             await anyio.sleep(HEARTBEAT)
 
+    def _port_of(self, instance: _instance.Instance) -> int:
+        """Give the port at which an instance is listed."""
+        if self.cfg.relayed:
+            return self.relays[instance.id].port
+        return instance.port
+
     # Proxies --------------------------------------------------------------
 
     def start_proxy(self, number: int) -> ProxyProcess:
         """Start a proxy as a process of its own."""
-        front, ready, peers, metrics = _free_ports(4)
+        front, ready, peers, metrics = free_ports(4)
         name = f'front-{number}'
+        store_port = self._api_port
+        if self.cfg.relayed:
+            store_port = self.store_relays[number].port
+        store = f'127.0.0.1:{store_port}'
         settings = {
             'node_name': name,
             'ip': '127.0.0.1',
@@ -251,8 +278,8 @@
             'internal_ports': [peers, metrics],
             'heartbeat_ms': int(HEARTBEAT * 1000),
             'bounds': {'grace_s': self.cfg.grace_s},
-            'platform': {'address': f'127.0.0.1:{self._api_port}'},
-            'cloud_api': {'address': f'127.0.0.1:{self._api_port}'},
+            'platform': {'address': store},
+            'cloud_api': {'address': store},
         }
         path = self._folder / f'{name}.json'
         path.write_text(json.dumps(settings))
@@ -313,7 +340,7 @@
 _given: set[int] = set()
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Give the first of ``count`` ports in a row that are free.
 
     They lie below those that the system gives to outgoing connections,
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -1,5 +1,7 @@
 """A site of the platform's stand-in, with proxies as processes."""
 
+import contextlib
+
 import anyio
 import pytest
 import tidegrade_edge as edge
@@ -14,10 +16,10 @@
     return 'asyncio'
 
 
-@pytest.fixture
-async def site(tmp_path):
-    """Give a site whose proxies take writes."""
-    made = edge.Site(tmp_path)
+@contextlib.asynccontextmanager
+async def running(folder, cfg=None):
+    """Run a site whose proxies take writes."""
+    made = edge.Site(folder, cfg)
     async with anyio.create_task_group() as tasks:
         try:
             with anyio.fail_after(PATIENCE):
@@ -28,12 +30,27 @@
             tasks.cancel_scope.cancel()
 
 
+@pytest.fixture
+async def site(tmp_path):
+    """Give a site whose proxies take writes."""
+    async with running(tmp_path) as made:
+        yield made
+
+
+@pytest.fixture
+async def relayed(tmp_path):
+    """Give a site whose connections run through relays."""
+    cfg = edge.SiteSettings(relayed=True)
+    async with running(tmp_path, cfg) as made:
+        yield made
+
+
 @pytest.fixture
 def until():
     """Give a function that waits until a condition holds."""
 
-    async def wait(holds) -> None:
-        with anyio.fail_after(PATIENCE):
+    async def wait(holds, patience=PATIENCE) -> None:
+        with anyio.fail_after(patience):
             while not await holds():
                 await anyio.sleep(0.05)
 
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,56 @@
+"""Links between proxies over connections that fail."""
+
+import anyio
+import pytest
+import tidegrade_edge as edge
+
+from tidegrade.peers import _links
+from tidegrade.peers import _messages as messages
+
+pytestmark = pytest.mark.anyio
+
+KEY = bytes(32)
+BEAT = messages.Heartbeat('p', 'a', '127.0.0.1', 1, 1, False)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@pytest.fixture
+def free_port() -> int:
+    return edge.free_ports(1)[0]
+
+
+async def test_a_link_that_goes_silent_is_made_anew(free_port):
+    heard = 0
+
+    async def take(body: messages.PeerBody) -> None:
+        nonlocal heard
+        heard += 1
+
+    server = _links.PeerServer(
+        _links.Address('127.0.0.1', free_port), KEY, take
+    )
+    relay = edge.Relay(free_port)
+    own = _links.Address('127.0.0.1', 1)
+    links = _links.Links(KEY, own)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(server.serve)
+        await tasks.start(relay.serve)
+        await tasks.start(links.run)
+        links.ensure(_links.Address('127.0.0.1', relay.port))
+
+        async def hears() -> None:
+            before = heard
+            while heard == before:
+                links.broadcast(BEAT)
+                await anyio.sleep(0.05)
+
+        with anyio.fail_after(10):
+            await hears()
+        relay.silence()
+        with anyio.fail_after(10):
+            await hears()
+        tasks.cancel_scope.cancel()
