--- a/src/tidegrade/codec/_results.py
+++ b/src/tidegrade/codec/_results.py
@@ -7,7 +7,7 @@
 from tidegrade import core
 
 
-def _plain(value: object) -> object:
+def plain(value: object) -> object:
     """Give a JSON value for what JSON has no type for."""
     if isinstance(value, bytes | bytearray | memoryview):
         return base64.b64encode(bytes(value)).decode('ascii')
@@ -16,7 +16,7 @@
 
 def to_json(value: object) -> bytes:
     """Serialize; numbers of any precision and times become strings."""
-    return orjson.dumps(value, default=_plain)
+    return orjson.dumps(value, default=plain)
 
 
 def as_plain(results: tuple[core.ResultSet, ...]) -> list[object]:
--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -8,10 +8,8 @@
 
 from tidegrade.core._adoption import Adoption
 from tidegrade.core._adoption import ConfigRef
-from tidegrade.core._detector import first_in_turn
 from tidegrade.core._detector import is_down
 from tidegrade.core._detector import Opinion
-from tidegrade.core._detector import rank
 from tidegrade.core._events import CloseConn
 from tidegrade.core._events import Command
 from tidegrade.core._events import ConfigChanged
@@ -44,6 +42,9 @@
 from tidegrade.core._failover import Supervisor
 from tidegrade.core._group import GroupMachine
 from tidegrade.core._group import is_newer
+from tidegrade.core._homes import Homes
+from tidegrade.core._homes import homes
+from tidegrade.core._homes import owner_of
 from tidegrade.core._jobs import CommitJob
 from tidegrade.core._jobs import ExecuteJob
 from tidegrade.core._jobs import Failure
@@ -74,6 +75,10 @@
 from tidegrade.core._token import SessionToken
 from tidegrade.core._traits import POSTGRESQL
 from tidegrade.core._traits import Traits
+from tidegrade.core._turns import first_in_turn
+from tidegrade.core._turns import first_ones
+from tidegrade.core._turns import rank
+from tidegrade.core._turns import weight
 from tidegrade.core._types import Answer
 from tidegrade.core._types import Code
 from tidegrade.core._types import EndpointReport
@@ -85,7 +90,9 @@
 from tidegrade.core._types import Prepared
 from tidegrade.core._types import Request
 from tidegrade.core._types import ResultSet
+from tidegrade.core._types import shifted_request
 from tidegrade.core._types import Statement
+from tidegrade.core._types import Trace
 
 __all__ = [
     'LONGEST_PAUSE',
@@ -118,6 +125,7 @@
     'GiveUp',
     'GroupMachine',
     'GroupRow',
+    'Homes',
     'InvariantBroken',
     'Job',
     'JobDone',
@@ -160,12 +168,18 @@
     'Supervisor',
     'Suspected',
     'Tick',
+    'Trace',
     'Traits',
     'WriteJob',
     'first_in_turn',
+    'first_ones',
+    'homes',
     'invariant',
     'is_down',
     'is_newer',
+    'owner_of',
     'rank',
     'shifted',
+    'shifted_request',
+    'weight',
 ]
--- a/src/tidegrade/core/_detector.py
+++ b/src/tidegrade/core/_detector.py
@@ -1,7 +1,6 @@
 """Telling a failed primary from a slow one."""
 
 from collections.abc import Sequence
-import hashlib
 
 import attrs
 
@@ -50,22 +49,3 @@
     same_term = [o for o in others if o.term == own.term]
     down = 1 + sum(o.primary_down for o in same_term)
     return 2 * down > 1 + len(same_term)
-
-
-def rank(group: str, own: str, others: Sequence[str]) -> int:
-    """Give this proxy's turn to supervise a group; 0 goes first.
-
-    Rendezvous hashing: every proxy that hears the same others gives the
-    same order, and another group has another order.
-    """
-    mine = _weight(group, own)
-    return sum(_weight(group, other) > mine for other in others)
-
-
-def first_in_turn(group: str, proxies: Sequence[str]) -> str:
-    """Give the proxy whose turn comes first, in the order of ``rank``."""
-    return max(proxies, key=lambda proxy: _weight(group, proxy))
-
-
-def _weight(group: str, proxy: str) -> bytes:
-    return hashlib.sha256(f'{group}\0{proxy}'.encode()).digest()
--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -27,6 +27,7 @@
 from tidegrade.core import _row
 from tidegrade.core import _supervision as sv
 from tidegrade.core import _traits
+from tidegrade.core import _turns
 from tidegrade.core import _types
 
 #: Time that a replica gets to catch up with one that may not lead.
@@ -158,7 +159,7 @@
             return
         if self._wanted_since is None:
             self._wanted_since = now
-        turn = _detector.rank(self._group, self._proxy, event.peers)
+        turn = _turns.rank(self._group, self._proxy, event.peers)
         if now < max(self._wanted_since + turn * TURN, self._not_before):
             return
         self._start(reason, now)
@@ -216,7 +217,7 @@
         assert seen is not None
         if now - self._last_follow < FOLLOW_INTERVAL:
             return
-        if _detector.rank(self._group, self._proxy, seen.peers) != 0:
+        if _turns.rank(self._group, self._proxy, seen.peers) != 0:
             return
         if seen.row is None or seen.row.primary not in seen.cfg.endpoints:
             return
--- /dev/null
+++ b/src/tidegrade/core/_homes.py
@@ -0,0 +1,63 @@
+"""Which proxies keep connections to a group's endpoints.
+
+Connections are scarce, and every proxy that holds some must also be kept
+informed of the group's state. So where there are many proxies, some in
+each failure domain serve a group for the others there.
+"""
+
+from collections.abc import Collection
+from collections.abc import Mapping
+
+import attrs
+
+from tidegrade import config
+from tidegrade.core import _turns
+
+#: Homes of a group in one failure domain, at most: enough that the loss of
+#: some is no matter, few enough that each is busy.
+MAX_HOMES = 8
+#: Part of an endpoint's connections that is shared out. The rest is left
+#: for those of proxies that have just ended: an endpoint holds them for up
+#: to 3 s more.
+SHARED_OUT = 0.85
+
+
+@attrs.frozen
+class Homes:
+    """A proxy's part in serving a group.
+
+    ``count`` is how many proxies share the endpoints' connections.
+    """
+
+    is_home: bool
+    count: int
+
+
+def homes(
+    group: str,
+    cfg: config.Group,
+    own: str,
+    domain: str,
+    proxies: Mapping[str, Collection[str]],
+) -> Homes:
+    """Say whether proxy ``own`` in ``domain`` is a home of a group.
+
+    ``proxies`` are those that may serve, by failure domain, own included.
+    """
+    per_domain = _per_domain(cfg, len(proxies))
+    others = (proxy for proxy in proxies[domain] if proxy != own)
+    turn = _turns.rank(f'home {group}', own, others)
+    count = sum(min(per_domain, len(found)) for found in proxies.values())
+    return Homes(turn < per_domain, count)
+
+
+def _per_domain(cfg: config.Group, domains: int) -> int:
+    """Give how many homes each failure domain has, if it has as many."""
+    fewest = min(e.max_connections for e in cfg.endpoints.values())
+    shared = int(fewest * SHARED_OUT) // domains
+    return max(1, min(MAX_HOMES, shared))
+
+
+def owner_of(txn: str) -> str:
+    """Give the proxy that keeps a transaction, by the transaction's name."""
+    return txn.partition('~')[0]
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -39,8 +39,12 @@
     """Give this proxy's part of each endpoint's connections.
 
     Each gets one at least: with more proxies than connections an endpoint
-    turns some away, which is better than that nobody may ask it.
+    turns some away, which is better than that nobody may ask it. A proxy
+    that is not among those that share, as ``max_proxies`` of 0 tells, has
+    none.
     """
+    if not max_proxies:
+        return dict.fromkeys(cfg.endpoints, 0)
     return {
         name: max(1, endpoint.max_connections // max_proxies)
         for name, endpoint in cfg.endpoints.items()
--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -142,6 +142,16 @@
     read_only: bool = False
 
 
+def shifted_request(req: Request, seconds: float, number: int = 0) -> Request:
+    """Give a request with its times moved, and with another number."""
+    return attrs.evolve(
+        req,
+        id=number,
+        deadline=req.deadline + seconds,
+        place_by=req.place_by + seconds,
+    )
+
+
 @attrs.frozen
 class Trace:
     """What decided an answer, for the log.
@@ -149,7 +159,8 @@
     ``tries`` counts the endpoints it was handed to, ``misses`` those that
     ran nothing. ``sent_to`` is the last of them. A read was to be at or
     past ``after``, a position in ``term``. ``permission_left`` is how long
-    the permission still held, in seconds.
+    the permission still held, in seconds. ``via`` is the proxy that served
+    it for this one.
     """
 
     term: int
@@ -158,6 +169,7 @@
     sent_to: str = ''
     after: int | None = None
     permission_left: float | None = None
+    via: str = ''
 
 
 @attrs.frozen
--- a/src/tidegrade/daemon/_evidence_task.py
+++ b/src/tidegrade/daemon/_evidence_task.py
@@ -60,7 +60,9 @@
     def _by_proxy(self) -> dict[str, tuple[messages.GroupKey, ...]]:
         """Give the proxies to ask, each with the groups it knows best."""
         found: dict[str, tuple[messages.GroupKey, ...]] = {}
-        for key in self._groups():
+        for key, group in self._groups().items():
+            if not group.serving:
+                continue
             proxy = self._peers.first_for(key)
             if proxy != self._deps.proxy_id:
                 found[proxy] = (*found.get(proxy, ()), key)
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -52,6 +52,10 @@
         peers: '_peers_task.PeersTask',
     ) -> None:
         self.key = key
+        #: Whether this proxy keeps connections to the group's endpoints.
+        self.serving = max_proxies > 0
+        #: How many proxies share those connections.
+        self.sharers = max_proxies
         self._deps = deps
         self._peers = peers
         self._config_version = 0
@@ -149,8 +153,13 @@
     def set_config(
         self, cfg: config.Group, version: int, max_proxies: int
     ) -> None:
-        """Put a newer configuration of the group in force."""
+        """Put a newer configuration of the group in force.
+
+        ``max_proxies`` share its connections; 0 if this one has none.
+        """
         self._config_version = version
+        self.serving = max_proxies > 0
+        self.sharers = max_proxies
         self.post(core.ConfigChanged(cfg, max_proxies))
 
     def opinion(self) -> messages.GroupOpinion:
@@ -218,6 +227,11 @@
         if now < self._next_observation:
             return
         self._next_observation = now + OBSERVE_INTERVAL
+        watching = self._supervisor.step is core.Step.WATCH
+        if not self.serving and watching:
+            # Who has no connections can neither judge nor fence.
+            self._poll_for_peers(False)
+            return
         own = self._own_opinion(now)
         self._share_the_work(own)
         cfg = self.machine.cfg
@@ -229,7 +243,7 @@
                 row=self.machine.row,
                 own=own,
                 opinions=self._peers.opinions(self.key),
-                peers=self._peers.alive_ids(),
+                peers=self._peers.serving_ids(self.key),
                 leaving=frozenset(leaving),
                 to_follow=self.machine.to_follow(now),
                 reachable=self.machine.reachable(),
@@ -244,11 +258,9 @@
         """
         if not self._deps.traits.status_is_costly:
             return
-        peers = self._peers.alive_ids()
+        peers = self._peers.serving_ids(self.key)
         first = core.rank(str(self.key), self._deps.proxy_id, peers) == 0
-        if first != self._polls_for_peers:
-            self._polls_for_peers = first
-            self._handle(core.PollsForPeers(first))
+        self._poll_for_peers(first)
         row = self.machine.row
         if row is None:
             return
@@ -259,6 +271,11 @@
             self._found_down = own.primary_down
             self._peers.beat_now()
 
+    def _poll_for_peers(self, wanted: bool) -> None:
+        if wanted != self._polls_for_peers:
+            self._polls_for_peers = wanted
+            self._handle(core.PollsForPeers(wanted))
+
     def _own_opinion(self, now: float) -> core.Opinion:
         row = self.machine.row
         proxy = self._deps.proxy_id
--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -4,10 +4,11 @@
 
 import anyio
 import anyio.abc
-import attrs
 
 from tidegrade import core
 from tidegrade.daemon import _deps
+from tidegrade.daemon import _roster
+from tidegrade.daemon import _spread
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
@@ -18,19 +19,6 @@
 FORGET_AFTER = 60.0
 
 
-@attrs.frozen
-class Peer:
-    """The last heartbeat of another proxy and when it came."""
-
-    beat: messages.Heartbeat
-    heard_at: float
-
-    @property
-    def address(self) -> _links.Address:
-        """Give where the peer takes connections."""
-        return _links.Address(self.beat.host, self.beat.port)
-
-
 class PeersTask:
     """Owns the links, the heartbeats and what they tell."""
 
@@ -41,7 +29,14 @@
         key = bytes.fromhex(cfg.key)
         self._links = _links.Links(key, own)
         self._server = _links.PeerServer(own, key, handler)
-        self._peers: dict[str, Peer] = {}
+        self._roster = _roster.Roster(deps.proxy_id, cfg.alive_s)
+        self._spread = _spread.Spread(
+            _spread.Spot(deps.proxy_id, deps.domain),
+            self._roster,
+            self._links,
+            deps.clock,
+            deps.rng,
+        )
         self._named: dict[_links.Address, float] = {}
         self.beat_of: Callable[[], messages.Heartbeat] | None = None
 
@@ -50,6 +45,7 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(self._server.serve)
             await tasks.start(self._links.run)
+            tasks.start_soon(self._spread.run)
             task_status.started()
             await self._beat()
 
@@ -60,25 +56,25 @@
         now = self._deps.clock.now()
         for vm in vms:
             if vm.role == 'proxy':
-                self._name(_links.Address(vm.host, vm.port), now)
+                address = self._roster.list_vm(vm, now)
+                self._named[address] = now
+                self._links.ensure(address)
 
     def heard(self, beat: messages.Heartbeat) -> None:
-        """Take in a heartbeat."""
-        if beat.proxy == self._deps.proxy_id:
-            return
-        now = self._deps.clock.now()
-        peer = Peer(beat, now)
-        self._peers[beat.proxy] = peer
-        self._name(peer.address, now)
+        """Take in a heartbeat that its proxy sent here."""
+        self._spread.heard(beat)
 
-    def known(self) -> list[Peer]:
+    def heard_digest(self, digest: messages.Digest) -> None:
+        """Take in what another proxy has heard of others."""
+        self._spread.heard_digest(digest)
+
+    def known(self) -> list[_roster.Peer]:
         """Give every peer that was heard and not forgotten since."""
-        return list(self._peers.values())
+        return self._roster.known()
 
-    def alive(self) -> list[Peer]:
+    def alive(self) -> list[_roster.Peer]:
         """Give the peers heard lately."""
-        oldest = self._deps.clock.now() - self._deps.peers.alive_s
-        return [p for p in self._peers.values() if p.heard_at >= oldest]
+        return self._roster.alive(self._deps.clock.now())
 
     def alive_ids(self) -> tuple[str, ...]:
         """Give the names of the peers heard lately."""
@@ -97,11 +93,39 @@
             if address not in heard
         ]
 
+    def serving(self, key: messages.GroupKey) -> list[_roster.Peer]:
+        """Give the peers heard lately that serve a group themselves."""
+        return [
+            peer
+            for peer in self.alive()
+            if any(said.key == key for said in peer.beat.opinions)
+        ]
+
+    def serving_ids(self, key: messages.GroupKey) -> tuple[str, ...]:
+        """Give the names of the peers that serve a group."""
+        return tuple(peer.beat.proxy for peer in self.serving(key))
+
     def first_for(self, key: messages.GroupKey) -> str:
-        """Give the proxy that asks a group's endpoints for the others."""
-        proxies = [self._deps.proxy_id, *self.alive_ids()]
+        """Give the proxy that asks a group's endpoints for the others.
+
+        This proxy must be one of those that serve the group.
+        """
+        proxies = [self._deps.proxy_id, *self.serving_ids(key)]
         return core.first_in_turn(str(key), proxies)
 
+    def is_connected(self, proxy: str) -> bool:
+        """Tell whether a proxy can be asked at this moment."""
+        peer = self._roster.get(proxy)
+        link = self._links.link(peer.address) if peer else None
+        return link is not None and link.connected
+
+    def candidates(self) -> dict[str, set[str]]:
+        """Give the other proxies that may take over work, by domain.
+
+        Those that were listed just now count: they may be starting.
+        """
+        return self._roster.candidates(self._deps.clock.now())
+
     def opinions(self, key: messages.GroupKey) -> tuple[core.Opinion, ...]:
         """Give what the peers heard lately think of a group's primary."""
         return tuple(
@@ -117,6 +141,13 @@
         """Send a message to every proxy that can be reached."""
         self._links.broadcast(body)
 
+    def tell(self, proxy: str, body: messages.PeerBody) -> None:
+        """Send one proxy a message that wants no answer."""
+        peer = self._roster.get(proxy)
+        link = self._links.link(peer.address) if peer else None
+        if link is not None:
+            link.post(body)
+
     async def ask(
         self, proxy: str, body: messages.PeerBody
     ) -> messages.PeerBody | None:
@@ -128,7 +159,7 @@
         self, proxy: str, body: messages.PeerBody, limit: float
     ) -> _links.Asked:
         """Ask one proxy; the result says if the question was sent."""
-        peer = self._peers.get(proxy)
+        peer = self._roster.get(proxy)
         link = self._links.link(peer.address) if peer else None
         if link is None:
             return _links.Asked(sent=False)
@@ -149,24 +180,26 @@
     def beat_now(self) -> None:
         """Tell the others at once, as when an opinion has changed."""
         if self.beat_of is not None:
-            self._links.broadcast(self.beat_of())
+            self._spread.send(self.beat_of())
 
     async def _beat(self) -> None:
         while True:
-            self.beat_now()
+            if self.beat_of is not None:
+                beat = self.beat_of()
+                self._spread.send(beat)
+                self._spread.send_digest(beat)
             self._forget()
             await anyio.sleep(self._deps.peers.heartbeat_s)
 
-    def _name(self, address: _links.Address, now: float) -> None:
-        self._named[address] = now
-        self._links.ensure(address)
-
     def _forget(self) -> None:
-        oldest = self._deps.clock.now() - FORGET_AFTER
+        """Give up those that nobody names any more."""
+        now = self._deps.clock.now()
+        oldest = now - FORGET_AFTER
+        self._roster.forget(oldest)
+        for peer in self._roster.known():
+            self._named[peer.address] = now
         for address, named in list(self._named.items()):
             if named < oldest:
                 del self._named[address]
+                self._roster.unlist(address)
                 self._links.drop(address)
-        for proxy, peer in list(self._peers.items()):
-            if peer.heard_at < oldest:
-                del self._peers[proxy]
--- a/src/tidegrade/http_proxy/_proxy.py
+++ b/src/tidegrade/http_proxy/_proxy.py
@@ -245,6 +245,10 @@
         if isinstance(body, messages.Heartbeat):
             self._peers.heard(body)
             self._configs.heard(body.config_version)
+        elif isinstance(body, messages.Digest):
+            self._peers.heard_digest(body)
+            for aged in body.news:
+                self._configs.heard(aged.beat.config_version)
         elif isinstance(body, messages.GiveUp):
             return self._give_up(body)
         elif isinstance(body, messages.RowNews):
--- a/src/tidegrade/http_proxy/_service.py
+++ b/src/tidegrade/http_proxy/_service.py
@@ -98,17 +98,12 @@
         group = self.groups.get(ask.key)
         if group is None:
             return _refused(core.Code.TXN_UNKNOWN, 'no such group').answer
-        req = core.Request(
-            id=next(self._numbers),
-            tenant=ask.tenant,
-            kind=ask.kind,
-            deadline=self._deps.clock.now() + ask.time_left,
-            statements=ask.statements,
-            txn=ask.txn,
+        req = core.shifted_request(
+            ask.request, self._deps.clock.now(), next(self._numbers)
         )
         answer = await group.request(req)
         reply = Reply(
-            answer, group=group, acknowledges=ask.kind in ACKNOWLEDGING
+            answer, group=group, acknowledges=req.kind in ACKNOWLEDGING
         )
         return reply.final()
 
@@ -180,7 +175,7 @@
         token: core.SessionToken,
         call: ports.Call,
     ) -> Reply:
-        owner, _, _ = req.txn.partition('~')
+        owner = core.owner_of(req.txn)
         if req.kind in TXN_KINDS and owner != self._deps.proxy_id:
             answer = await self._forward(req, group, owner)
         else:
@@ -203,15 +198,9 @@
         self, req: core.Request, group: _group_task.GroupTask, owner: str
     ) -> core.Answer:
         """Hand a step to the proxy that keeps the transaction."""
-        time_left = req.deadline - self._deps.clock.now()
-        ask = messages.Forward(
-            key=group.key,
-            tenant=req.tenant,
-            kind=req.kind,
-            txn=req.txn,
-            statements=req.statements,
-            time_left=time_left,
-        )
+        now = self._deps.clock.now()
+        time_left = req.deadline - now
+        ask = messages.Forward(group.key, core.shifted_request(req, -now))
         asked = await self._peers.ask_within(owner, ask, time_left)
         if isinstance(asked.answer, messages.Forwarded):
             return asked.answer.answer
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -63,6 +63,11 @@
     ANSWERED = (1603, logging.INFO, 'a request was answered')
     REFUSED = (1604, logging.WARNING, 'a request was refused')
     SESSION_REFUSED = (1605, logging.INFO, 'a session was refused')
+    FORWARD_LOST = (
+        1606,
+        logging.WARNING,
+        'another proxy did not answer for a request',
+    )
     LINES_LEFT_OUT = (1701, logging.WARNING, 'log lines were left out')
     OUTCOME_UNKNOWN = (1602, logging.WARNING, 'an outcome is unknown')
 
--- a/src/tidegrade/peers/_links.py
+++ b/src/tidegrade/peers/_links.py
@@ -19,9 +19,11 @@
 RECONNECT_PAUSE = 0.2
 #: Time that connecting may take, in seconds.
 CONNECT_TIMEOUT = 1.0
-#: A link on which nothing came for this long is probed, in seconds; the
-#: other side answers questions only.
+#: A link on which something was sent and nothing came back for this long
+#: is probed, in seconds; the other side answers questions only.
 PROBE_AFTER = 0.8
+#: Pause between looks whether a link must be probed, in seconds.
+PROBE_LOOK = 0.3
 #: Time that the answer to a probe may take, in seconds.
 PROBE_LIMIT = 0.6
 #: Messages that wait for a link; more are dropped, oldest kept.
@@ -58,7 +60,7 @@
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Question] = {}
         self.connected = False
-        self._heard_at = 0.0
+        self._unheard_since: float | None = None
         self._send, self._receive = anyio.create_memory_object_stream[
             messages.PeerMessage
         ](LINK_QUEUE)
@@ -106,6 +108,8 @@
             self._send.send_nowait(message)
         except anyio.WouldBlock:
             return False
+        if self._unheard_since is None:
+            self._unheard_since = anyio.current_time()
         return True
 
     def _lost(self) -> None:
@@ -128,7 +132,7 @@
                     stream, self._key, connects=True
                 )
             self.connected = True
-            self._heard_at = anyio.current_time()
+            self._unheard_since = None
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write, frames, tasks.cancel_scope)
                 tasks.start_soon(self._probe, tasks.cancel_scope)
@@ -147,9 +151,9 @@
     async def _probe(self, scope: anyio.CancelScope) -> None:
         """Give the connection up once it has gone silent."""
         while True:
-            rest = self._heard_at + PROBE_AFTER - anyio.current_time()
-            if rest > 0:
-                await anyio.sleep(rest)
+            await anyio.sleep(PROBE_LOOK)
+            since = self._unheard_since
+            if since is None or anyio.current_time() - since < PROBE_AFTER:
                 continue
             asked = await self.ask(messages.Probe(), PROBE_LIMIT)
             if asked.answer is None:
@@ -162,7 +166,7 @@
         try:
             while True:
                 message = messages.decode(await frames.receive())
-                self._heard_at = anyio.current_time()
+                self._unheard_since = None
                 question = self._waiting.get(message.number)
                 if question is not None:
                     question.answer = message.body
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -1,11 +1,12 @@
 """Peer messages as attrs classes, to and from Cap'n Proto."""
 
+import json
 import math
 import typing
+import zlib
 
 import attrs
 import capnp  # type: ignore[import-untyped]
-import orjson
 
 from tidegrade.codec import _results
 from tidegrade.codec import _structure
@@ -37,7 +38,8 @@
 class Heartbeat:
     """A proxy is alive, and what it knows in short.
 
-    ``host`` and ``port`` are where it takes peers' connections.
+    ``host`` and ``port`` are where it takes peers' connections. With
+    ``pass_on`` it asks the receiver to tell others.
     """
 
     proxy: str
@@ -47,6 +49,16 @@
     config_version: int
     draining: bool
     opinions: tuple[GroupOpinion, ...] = ()
+    pass_on: bool = False
+
+    def revision(self) -> int:
+        """Give a number of 32 bits that changes with the content."""
+        return zlib.crc32(repr(self).encode())
+
+    def urgent(self) -> tuple[object, ...]:
+        """Give the part whose changes others must hear at once."""
+        down = (o for o in self.opinions if o.primary_down)
+        return (self.draining, *down)
 
 
 @attrs.frozen
@@ -91,22 +103,22 @@
 
 @attrs.frozen
 class Forward:
-    """A caller's step in a transaction that another proxy keeps.
+    """A caller's request that another proxy serves.
 
-    ``time_left`` is in seconds.
+    ``request.id`` means nothing to the other side. Its ``deadline`` and
+    ``place_by`` count from the moment it is sent, in seconds.
     """
 
     key: GroupKey
-    tenant: str
-    kind: core.Kind
-    txn: str
-    statements: tuple[core.Statement, ...]
-    time_left: float
+    request: core.Request
 
 
 @attrs.frozen
 class Forwarded:
-    """The answer to a forwarded step."""
+    """The answer to a forwarded request.
+
+    Its ``acknowledge_until`` counts from the moment it is sent.
+    """
 
     answer: core.Answer
 
@@ -133,6 +145,35 @@
     seen: tuple[GroupEvidence, ...]
 
 
+@attrs.frozen
+class AgedHeartbeat:
+    """Another proxy's heartbeat; ``age`` is in seconds since it came."""
+
+    beat: Heartbeat
+    age: float
+
+
+@attrs.frozen
+class AliveProxy:
+    """A proxy whose heartbeat of this revision came ``age`` ago."""
+
+    proxy: str
+    age: float
+    revision: int
+
+
+@attrs.frozen
+class Digest:
+    """What a proxy has heard of others, where not all hear all.
+
+    ``news`` are heartbeats in full, ``alive`` those whose content the
+    other side should know already.
+    """
+
+    news: tuple[AgedHeartbeat, ...] = ()
+    alive: tuple[AliveProxy, ...] = ()
+
+
 @attrs.frozen
 class Probe:
     """Asks whether the connection still works."""
@@ -156,6 +197,7 @@
     | EvidenceAnswer
     | Probe
     | Probed
+    | Digest
 )
 
 
@@ -192,13 +234,17 @@
 
 
 def _put_heartbeat(wire: typing.Any, body: Heartbeat) -> None:
-    beat = wire.init('heartbeat')
+    _fill_heartbeat(wire.init('heartbeat'), body)
+
+
+def _fill_heartbeat(beat: typing.Any, body: Heartbeat) -> None:
     beat.proxy = body.proxy
     beat.domain = body.domain
     beat.host = body.host
     beat.port = body.port
     beat.configVersion = body.config_version
     beat.draining = body.draining
+    beat.passOn = body.pass_on
     opinions = beat.init('opinions', len(body.opinions))
     for slot, opinion in zip(opinions, body.opinions, strict=True):
         slot.site = opinion.key.site
@@ -246,18 +292,22 @@
     forward = wire.init('forward')
     forward.site = body.key.site
     forward.group = body.key.group
-    forward.tenant = body.tenant
-    forward.kind = body.kind.value
-    forward.txn = body.txn
-    forward.statements = orjson.dumps(
-        [[stmt.sql, list(stmt.params)] for stmt in body.statements]
-    )
-    forward.timeLeftMs = max(0, int(body.time_left * 1000))
+    forward.request = _json(body.request)
 
 
 def _put_forwarded(wire: typing.Any, body: Forwarded) -> None:
-    plain = _structure.unstructure(body.answer)
-    wire.init('forwarded').answer = _results.to_json(plain)
+    wire.init('forwarded').answer = _json(body.answer)
+
+
+def _json(value: core.Request | core.Answer) -> bytes:
+    """Give a value as JSON; a time without bound is left out.
+
+    Callers' text may hold bytes that are not UTF-8, as surrogates, which
+    only the standard library's JSON passes on.
+    """
+    plain = _structure.unstructure(value)
+    bounded = {name: part for name, part in plain.items() if part != math.inf}
+    return json.dumps(bounded, default=_results.plain).encode()
 
 
 def _put_ask_evidence(wire: typing.Any, body: AskEvidence) -> None:
@@ -285,6 +335,19 @@
             part.ageUs = _age_us(grant.at)
 
 
+def _put_digest(wire: typing.Any, body: Digest) -> None:
+    digest = wire.init('digest')
+    news = digest.init('news', len(body.news))
+    for slot, aged in zip(news, body.news, strict=True):
+        _fill_heartbeat(slot.init('beat'), aged.beat)
+        slot.ageMs = math.ceil(aged.age * 1000)
+    alive = digest.init('alive', len(body.alive))
+    for slot, entry in zip(alive, body.alive, strict=True):
+        slot.proxy = entry.proxy
+        slot.ageMs = math.ceil(entry.age * 1000)
+        slot.revision = entry.revision
+
+
 def _put_probe(wire: typing.Any, body: Probe) -> None:
     wire.probe = None
 
@@ -311,6 +374,7 @@
     EvidenceAnswer: _put_evidence,
     Probe: _put_probe,
     Probed: _put_probed,
+    Digest: _put_digest,
 }
 
 # Decoders -----------------------------------------------------------------
@@ -320,8 +384,21 @@
     return GroupKey(part.site, part.group)
 
 
-def _get_heartbeat(wire: typing.Any) -> Heartbeat:
-    beat = wire.heartbeat
+def _get_digest(wire: typing.Any) -> Digest:
+    digest = wire.digest
+    return Digest(
+        news=tuple(
+            AgedHeartbeat(_heartbeat_of(part.beat), part.ageMs / 1000)
+            for part in digest.news
+        ),
+        alive=tuple(
+            AliveProxy(part.proxy, part.ageMs / 1000, part.revision)
+            for part in digest.alive
+        ),
+    )
+
+
+def _heartbeat_of(beat: typing.Any) -> Heartbeat:
     return Heartbeat(
         proxy=beat.proxy,
         domain=beat.domain,
@@ -329,6 +406,7 @@
         port=beat.port,
         config_version=beat.configVersion,
         draining=beat.draining,
+        pass_on=beat.passOn,
         opinions=tuple(
             GroupOpinion(_key_of(o), o.term, o.primaryDown)
             for o in beat.opinions
@@ -336,26 +414,23 @@
     )
 
 
-def _get_forward(wire: typing.Any) -> Forward:
-    forward = wire.forward
-    statements = orjson.loads(forward.statements)
-    return Forward(
-        key=_key_of(forward),
-        tenant=forward.tenant,
-        kind=core.Kind(forward.kind),
-        txn=forward.txn,
-        statements=tuple(
-            core.Statement(sql, tuple(params)) for sql, params in statements
-        ),
-        time_left=forward.timeLeftMs / 1000,
-    )
+T = typing.TypeVar('T')
 
 
-def _get_forwarded(wire: typing.Any) -> Forwarded:
-    read = _structure.structure(bytes(wire.forwarded.answer), core.Answer)
+def _from_json(raw: bytes, kind: type[T]) -> T:
+    read = _structure.structure_plain(json.loads(bytes(raw)), kind)
     if read.is_err():
         raise ValueError('; '.join(read.unwrap_err()))
-    return Forwarded(read.unwrap())
+    return read.unwrap()
+
+
+def _get_forward(wire: typing.Any) -> Forward:
+    request = _from_json(wire.forward.request, core.Request)
+    return Forward(_key_of(wire.forward), request)
+
+
+def _get_forwarded(wire: typing.Any) -> Forwarded:
+    return Forwarded(_from_json(wire.forwarded.answer, core.Answer))
 
 
 def _get_evidence(wire: typing.Any) -> EvidenceAnswer:
@@ -384,7 +459,7 @@
 
 
 _DECODERS: dict[str, typing.Callable[[typing.Any], PeerBody]] = {
-    'heartbeat': _get_heartbeat,
+    'heartbeat': lambda w: _heartbeat_of(w.heartbeat),
     'giveUp': lambda w: GiveUp(_key_of(w.giveUp), w.giveUp.below),
     'gaveUp': lambda w: GaveUp(
         _key_of(w.gaveUp), w.gaveUp.below, w.gaveUp.proxy
@@ -402,4 +477,5 @@
     'evidence': _get_evidence,
     'probe': lambda w: Probe(),
     'probed': lambda w: Probed(),
+    'digest': _get_digest,
 }
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -28,6 +28,23 @@
   opinions @4 :List(GroupOpinion);
   host @5 :Text;         # where this proxy takes peers' connections
   port @6 :UInt16;
+  passOn @7 :Bool;       # asks the receiver to tell others
+}
+
+struct AgedHeartbeat {
+  beat @0 :Heartbeat;
+  ageMs @1 :UInt32;      # since it was heard, at least
+}
+
+struct AliveProxy {
+  proxy @0 :Text;
+  ageMs @1 :UInt32;
+  revision @2 :UInt32;   # of the heartbeat's content
+}
+
+struct Digest {
+  news @0 :List(AgedHeartbeat);
+  alive @1 :List(AliveProxy);
 }
 
 struct TermBound {
@@ -51,18 +68,14 @@
 }
 
 struct Forward {
-  # A caller's step in an interactive transaction of another proxy.
+  # A caller's request that another proxy serves.
   site @0 :Text;
   group @1 :Text;
-  tenant @2 :Text;
-  kind @3 :Text;
-  txn @4 :Text;
-  statements @5 :Data;   # JSON: [[sql, [param, ...]], ...]
-  timeLeftMs @6 :UInt32;
+  request @2 :Data;      # JSON; times count from its arrival
 }
 
 struct Forwarded {
-  answer @0 :Data;       # JSON
+  answer @0 :Data;       # JSON; times count from its sending
 }
 
 struct GroupName {
@@ -100,5 +113,6 @@
     evidence @10 :List(GroupEvidence);
     probe @11 :Void;       # asks whether the connection still works
     probed @12 :Void;
+    digest @13 :Digest;
   }
 }
--- a/src/tidegrade/session_proxy/_accounts.py
+++ b/src/tidegrade/session_proxy/_accounts.py
@@ -76,6 +76,8 @@
             fields['misses'] = trace.misses
             fields['endpoint'] = trace.sent_to
             fields['after'] = trace.after
+            if trace.via:
+                fields['via'] = trace.via
         if trace is not None and trace.permission_left is not None:
             left = round(trace.permission_left * 1000, 1)
             fields['permission_left_ms'] = left
--- a/src/tidegrade/session_proxy/_config_news.py
+++ b/src/tidegrade/session_proxy/_config_news.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 import anyio
-import anyio.abc
 
 from tidegrade import core
 from tidegrade.daemon import _peers_task
@@ -24,8 +23,9 @@
 #: How long the platform's own news may take, once a peer has them, before
 #: the peer is asked, in seconds: longer than answers differ by.
 GRACE = 0.2
-#: Pause between looks who watches, in seconds: about one heartbeat.
-TURN_LOOK = 0.5
+#: Pause between looks at what the others have, in seconds: about half of
+#: the pause between their heartbeats.
+LOOK = 0.25
 
 
 class ConfigNews:
@@ -42,56 +42,56 @@
         self._directory = directory
         self._peers = peers
         self._version = version
-        self._asking = False
         self._watching = True
 
     async def run(self) -> None:
-        """Keep up who watches, until cancelled."""
+        """Keep up who watches and with the newest version, until cancelled."""
         while True:
-            alive = self._peers.alive_ids()
-            rank = core.rank(WATCHED, self._proxy_id, alive)
-            self._watching = rank < WATCHERS
-            self._directory.watch_closely(self._watching)
-            await anyio.sleep(TURN_LOOK)
+            self._take_turns()
+            newest = self._newest()
+            if newest is not None:
+                await self._ask(newest)
+            await anyio.sleep(LOOK)
 
     def adopted(self) -> None:
         """Tell the others at once, whose own news may be held up."""
         if self._watching:
             self._peers.beat_now()
 
-    def heard(
-        self, beat: messages.Heartbeat, tasks: anyio.abc.TaskGroup
-    ) -> None:
-        """Take in a heartbeat; ask its sender if it knows more."""
-        if beat.config_version > self._version() and not self._asking:
-            self._asking = True
-            tasks.start_soon(self._ask, beat)
-
     def answer(self, question: messages.AskConfig) -> messages.ConfigContent:
         """Give another proxy the configuration that is in force here."""
         ref = core.ConfigRef(self._version(), question.ref.sha256)
         return messages.ConfigContent(ref, self._directory.document)
 
+    def _take_turns(self) -> None:
+        alive = self._peers.alive_ids()
+        rank = core.rank(WATCHED, self._proxy_id, alive)
+        self._watching = rank < WATCHERS
+        self._directory.watch_closely(self._watching)
+
+    def _newest(self) -> messages.Heartbeat | None:
+        """Give the heartbeat that tells of the newest version, if newer."""
+        known = self._version()
+        beats = (peer.beat for peer in self._peers.alive())
+        newer = [beat for beat in beats if beat.config_version > known]
+        return max(newer, key=lambda beat: beat.config_version, default=None)
+
     async def _ask(self, beat: messages.Heartbeat) -> None:
-        try:
-            await anyio.sleep(GRACE)
-            known = self._version()
-            if beat.config_version <= known:
-                return
-            question = messages.AskConfig(
-                core.ConfigRef(beat.config_version, '')
-            )
-            answer = await self._peers.ask(beat.proxy, question)
-            if not isinstance(answer, messages.ConfigContent):
-                return
-            if answer.ref.version <= known or not answer.document:
-                return
-            logs.write(
-                logs.LogEvent.CONFIG_FROM_PEER,
-                peer=beat.proxy,
-                version=answer.ref.version,
-                known_version=known,
-            )
-            self._directory.offer(answer.document)
-        finally:
-            self._asking = False
+        """Get the newer configuration, unless it comes by itself."""
+        await anyio.sleep(GRACE)
+        known = self._version()
+        if beat.config_version <= known:
+            return
+        question = messages.AskConfig(core.ConfigRef(beat.config_version, ''))
+        answer = await self._peers.ask(beat.proxy, question)
+        if not isinstance(answer, messages.ConfigContent):
+            return
+        if answer.ref.version <= known or not answer.document:
+            return
+        logs.write(
+            logs.LogEvent.CONFIG_FROM_PEER,
+            peer=beat.proxy,
+            version=answer.ref.version,
+            known_version=known,
+        )
+        self._directory.offer(answer.document)
--- /dev/null
+++ b/src/tidegrade/session_proxy/_homes.py
@@ -0,0 +1,92 @@
+"""Which proxies serve which groups, as this one sees it."""
+
+import attrs
+
+from tidegrade import config
+from tidegrade import core
+from tidegrade.daemon import _peers_task
+from tidegrade.daemon import _roster
+from tidegrade.peers import _messages as messages
+from tidegrade import ports
+
+#: How long a proxy that did not answer is passed over, in seconds: about
+#: as long as its heartbeats may take to tell that it has ended.
+AVOIDED_FOR = 1.0
+
+
+@attrs.frozen
+class Spot:
+    """This proxy's own name and failure domain."""
+
+    proxy: str
+    domain: str
+
+
+class HomeMap:
+    """Tells whether this proxy serves a group, and else who does."""
+
+    def __init__(
+        self,
+        spot: Spot,
+        peers: _peers_task.PeersTask,
+        clock: ports.Clock,
+    ) -> None:
+        self._spot = spot
+        self._peers = peers
+        self._clock = clock
+        self._failed_at: dict[str, float] = {}
+        self._asked: dict[str, int] = {}
+
+    def of(self, group: str, cfg: config.Group, draining: bool) -> core.Homes:
+        """Give this proxy's part in serving a group."""
+        proxies = self._peers.candidates()
+        proxies.setdefault(self._spot.domain, set()).add(self._spot.proxy)
+        found = core.homes(
+            group, cfg, self._spot.proxy, self._spot.domain, proxies
+        )
+        if found.count == sum(map(len, proxies.values())):
+            # All serve; those that were named lately may be starting.
+            return core.Homes(True, 1 + self._peers.named_count())
+        return core.Homes(found.is_home and not draining, found.count)
+
+    def pick(
+        self, key: messages.GroupKey, tried: frozenset[str]
+    ) -> str | None:
+        """Give the proxy to hand a request to: near, and not busy."""
+        serving = [
+            peer
+            for peer in self._peers.serving(key)
+            if self._may_take(peer, tried)
+        ]
+        if not serving:
+            return None
+        return min(serving, key=self._cost).beat.proxy
+
+    def asked(self, proxy: str) -> None:
+        """Note that a request was handed to a proxy."""
+        self._asked[proxy] = self._asked.get(proxy, 0) + 1
+
+    def answered(self, proxy: str, lost: bool) -> None:
+        """Note the end of a request at a proxy, or that none came."""
+        left = self._asked.get(proxy, 0) - 1
+        if left > 0:
+            self._asked[proxy] = left
+        else:
+            self._asked.pop(proxy, None)
+        if lost:
+            self._failed_at[proxy] = self._clock.now()
+
+    def _may_take(self, peer: _roster.Peer, tried: frozenset[str]) -> bool:
+        proxy = peer.beat.proxy
+        if peer.beat.draining or proxy in tried:
+            return False
+        failed_at = self._failed_at.get(proxy, float('-inf'))
+        if self._clock.now() - failed_at < AVOIDED_FOR:
+            return False
+        return self._peers.is_connected(proxy)
+
+    def _cost(self, peer: _roster.Peer) -> tuple[bool, int, bytes]:
+        proxy = peer.beat.proxy
+        far = peer.beat.domain != self._spot.domain
+        order = core.weight(self._spot.proxy, proxy)
+        return (far, self._asked.get(proxy, 0), order)
--- a/src/tidegrade/session_proxy/_members.py
+++ b/src/tidegrade/session_proxy/_members.py
@@ -55,6 +55,12 @@
                 continue
             found = entry.unwrap()
             vms.append(
-                ports.Vm(key, 'proxy', found.domain, found.host, found.port)
+                ports.Vm(
+                    key.removeprefix(_rows.HOLDERS),
+                    'proxy',
+                    found.domain,
+                    found.host,
+                    found.port,
+                )
             )
         self._peers.learn_vms(vms)
--- a/src/tidegrade/session_proxy/_peer_service.py
+++ b/src/tidegrade/session_proxy/_peer_service.py
@@ -1,6 +1,8 @@
 """What other proxies may ask of this one."""
 
-import anyio.abc
+from collections.abc import Callable
+
+import attrs
 
 from tidegrade.codec import _rows
 from tidegrade import core
@@ -9,8 +11,14 @@
 from tidegrade.daemon import _peers_task
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
+from tidegrade import ports
 from tidegrade.session_proxy import _config_news
 
+#: Said of a request for a group that this proxy does not serve (any more).
+_ELSEWHERE = core.Answer(core.Outcome.NOT_RUN, code=core.Code.DRAINING)
+#: Kinds of request whose success is an acknowledgement.
+_ACKNOWLEDGED = frozenset({core.Kind.WRITE, core.Kind.COMMIT})
+
 
 class PeerService:
     """Answers the messages of other proxies."""
@@ -22,20 +30,32 @@
         groups: dict[messages.GroupKey, _group_task.GroupTask],
         evidence: _evidence_task.EvidenceTask,
         config_news: _config_news.ConfigNews,
-        tasks: anyio.abc.TaskGroup,
+        next_number: Callable[[], int],
+        clock: ports.Clock,
     ) -> None:
         self._proxy_id = proxy_id
         self._peers = peers
         self._groups = groups
         self._evidence = evidence
         self._config_news = config_news
-        self._tasks = tasks
+        self._next_number = next_number
+        self._clock = clock
+        #: Requests of other proxies that are being served.
+        self.in_flight = 0
 
-    def handle(self, body: messages.PeerBody) -> messages.PeerBody | None:
+    async def handle(
+        self, body: messages.PeerBody
+    ) -> messages.PeerBody | None:
         """Take a message and give the answer, if it wants one."""
+        if isinstance(body, messages.Forward):
+            return await self._serve(body)
+        return self._take(body)
+
+    def _take(self, body: messages.PeerBody) -> messages.PeerBody | None:
         if isinstance(body, messages.Heartbeat):
             self._peers.heard(body)
-            self._config_news.heard(body, self._tasks)
+        elif isinstance(body, messages.Digest):
+            self._peers.heard_digest(body)
         elif isinstance(body, messages.GiveUp):
             return self._give_up(body)
         elif isinstance(body, messages.RowNews):
@@ -46,6 +66,28 @@
             return self._config_news.answer(body)
         return None
 
+    async def _serve(self, body: messages.Forward) -> messages.Forwarded:
+        """Serve a request that came through another proxy."""
+        group = self._groups.get(body.key)
+        keeps = core.owner_of(body.request.txn) == self._proxy_id
+        if group is None or not (group.serving or keeps):
+            return messages.Forwarded(_ELSEWHERE)
+        req = core.shifted_request(
+            body.request, self._clock.now(), self._next_number()
+        )
+        self.in_flight += 1
+        try:
+            answer = await group.request(req)
+        finally:
+            self.in_flight -= 1
+        if req.kind in _ACKNOWLEDGED:
+            answer = group.final(answer)
+        until = answer.acknowledge_until
+        if until is not None:
+            left = until - self._clock.now()
+            answer = attrs.evolve(answer, acknowledge_until=left)
+        return messages.Forwarded(answer)
+
     def _give_up(self, body: messages.GiveUp) -> messages.GaveUp | None:
         group = self._groups.get(body.key)
         if group is None:
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -10,6 +10,7 @@
 import result
 
 from tidegrade.adapters import _metrics
+from tidegrade import config
 from tidegrade import core
 from tidegrade.daemon import _deps
 from tidegrade.daemon import _evidence_task
@@ -21,10 +22,12 @@
 from tidegrade.session_proxy import _accounts
 from tidegrade.session_proxy import _config_news
 from tidegrade.session_proxy import _groups
+from tidegrade.session_proxy import _homes
 from tidegrade.session_proxy import _isolation
 from tidegrade.session_proxy import _members
 from tidegrade.session_proxy import _peer_key
 from tidegrade.session_proxy import _peer_service
+from tidegrade.session_proxy import _routed_group
 from tidegrade.session_proxy import _settings
 from tidegrade import sessions
 
@@ -34,6 +37,9 @@
 ENDPOINTS_RETRY = 0.8
 #: Pause between looks for sessions that rest and are to be closed.
 CLOSING_LOOK = 0.05
+#: Pause between looks which groups to serve, in seconds: about one
+#: heartbeat.
+HOMES_LOOK = 0.5
 #: Pause between looks whether the failure domain is cut off, in seconds.
 ISOLATION_LOOK = 0.1
 #: Time at the end in which no new callers are taken, in seconds: longer
@@ -59,6 +65,7 @@
             cfg.suspect_after_s, cfg.report_interval_s, cfg.settle_s
         )
         self._groups: dict[messages.GroupKey, _group_task.GroupTask] = {}
+        self._routes: dict[str, _routed_group.RoutedGroup] = {}
         self._metrics = _metrics.Metrics()
         self._is_registered = False
         self._cut_off = False
@@ -66,7 +73,7 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._session_deps = sessions.SessionDeps(
             route_of=self._route_of,
-            group_of=self._group_of,
+            group_of=self._routed,
             next_number=lambda: next(self._numbers),
             now=outside.clock.now,
             note=_accounts.Accounts(self._metrics).note,
@@ -99,6 +106,9 @@
     def _group_of(self, name: str) -> _group_task.GroupTask | None:
         return self._groups.get(messages.GroupKey(_groups.SITE, name))
 
+    def _routed(self, name: str) -> _routed_group.RoutedGroup | None:
+        return self._routes.get(name)
+
     # Life -----------------------------------------------------------------
 
     async def run(self) -> None:
@@ -118,6 +128,18 @@
             peers,
             self._config_version,
         )
+        self._peer_service = _peer_service.PeerService(
+            deps.proxy_id,
+            peers,
+            self._groups,
+            self._evidence,
+            self._news,
+            lambda: next(self._numbers),
+            deps.clock,
+        )
+        self._homes = _homes.HomeMap(
+            _homes.Spot(deps.proxy_id, deps.domain), peers, deps.clock
+        )
         self._isolation = _isolation.Isolation(deps.domain, deps.clock, peers)
         registration = _registration.Registration(deps, self._registered)
         members = _members.MembersTask(
@@ -125,14 +147,6 @@
         )
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            self._peer_service = _peer_service.PeerService(
-                deps.proxy_id,
-                peers,
-                self._groups,
-                self._evidence,
-                self._news,
-                tasks,
-            )
             await tasks.start(peers.run)
             tasks.start_soon(registration.run)
             tasks.start_soon(members.run)
@@ -142,6 +156,7 @@
             tasks.start_soon(self._watch_endpoints)
             tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._watch_isolation)
+            tasks.start_soon(self._watch_homes)
             await tasks.start(
                 self._outside.pages.serve, self._ready, self._metrics_page
             )
@@ -197,6 +212,8 @@
     async def _wind_down(self) -> None:
         """Let the balancer notice, then close sessions as they rest."""
         logs.write(logs.LogEvent.DRAINING)
+        # Other proxies hand over nothing more from now on.
+        self._peers.beat_now()
         started = self._outside.clock.now()
         limit = self._cfg.grace_s * GRACE_USED
         await anyio.sleep(min(self._cfg.unready_s, limit / 2))
@@ -210,10 +227,19 @@
             await self._close_sessions()
 
     async def _close_sessions(self) -> None:
-        """Close each session as it rests, until none is open."""
-        while self._outside.door.close_resting():
+        """Close each session as it rests, until none is open.
+
+        What other proxies have handed over is ended as well.
+        """
+        while self._outside.door.close_resting() or self._serves_others():
             await anyio.sleep(CLOSING_LOOK)
 
+    def _serves_others(self) -> bool:
+        """Tell whether a request or transaction is not finished."""
+        if self._peer_service.in_flight:
+            return True
+        return any(g.machine.transactions for g in self._groups.values())
+
     async def _watch_isolation(self) -> None:
         """Leave callers to other failure domains while cut off."""
         since: float | None = None
@@ -311,21 +337,38 @@
             if key not in self._groups:
                 self._start_group(key, cfg)
             group = self._groups[key]
-            group.set_config(cfg, 0, self._shares())
+            group.set_config(cfg, 0, self._sharers(entry.name, cfg))
             group.post(core.LeavingChanged(self._list.leaving(entry.name)))
 
-    def _shares(self) -> int:
-        """Give how many proxies share the connections of an endpoint.
+    def _sharers(self, name: str, cfg: config.Group) -> int:
+        """Give how many proxies share the connections of a group.
 
-        Those that were named lately count as well: they may be starting.
+        It is 0 if this proxy is not one of them.
         """
-        return 1 + self._peers.named_count()
+        found = self._homes.of(name, cfg, self._stopping.is_set())
+        return found.count if found.is_home else 0
 
-    def _start_group(self, key, cfg) -> None:
+    async def _watch_homes(self) -> None:
+        """Take and leave groups as other proxies come and go."""
+        while True:
+            await anyio.sleep(HOMES_LOOK)
+            for name in list(self._routes):
+                group = self._group_of(name)
+                assert group is not None
+                cfg = group.machine.cfg
+                sharers = self._sharers(name, cfg)
+                if sharers != group.sharers:
+                    group.set_config(cfg, 0, sharers)
+
+    def _start_group(self, key: messages.GroupKey, cfg: config.Group) -> None:
         task = _group_task.GroupTask(
-            key, cfg, self._shares(), self._deps, self._peers
+            key, cfg, self._sharers(key.group, cfg), self._deps, self._peers
         )
         self._groups[key] = task
+        forwarding = _routed_group.Forwarding(
+            self._proxy_id, self._peers, self._homes, self._deps.clock
+        )
+        self._routes[key.group] = _routed_group.RoutedGroup(task, forwarding)
         assert self._tasks is not None
         self._tasks.start_soon(task.run)
         if self._is_registered:
@@ -346,10 +389,12 @@
             port=self._cfg.peer_port,
             config_version=self._config_version(),
             draining=self._stopping.is_set(),
-            opinions=tuple(g.opinion() for g in self._groups.values()),
+            opinions=tuple(
+                g.opinion() for g in self._groups.values() if g.serving
+            ),
         )
 
     async def _peer_says(
         self, body: messages.PeerBody
     ) -> messages.PeerBody | None:
-        return self._peer_service.handle(body)
+        return await self._peer_service.handle(body)
--- a/standins/tidegrade_edge/_client.py
+++ b/standins/tidegrade_edge/_client.py
@@ -75,7 +75,7 @@
         while b'\r\n' not in self._buffer:
             self._buffer += await self._stream.receive()
         line, _, self._buffer = self._buffer.partition(b'\r\n')
-        return line.decode()
+        return line.decode('utf-8', 'surrogateescape')
 
     async def close(self) -> None:
         """Close the connection."""
--- a/standins/tidegrade_edge/_instance.py
+++ b/standins/tidegrade_edge/_instance.py
@@ -57,8 +57,11 @@
 class Instance:
     """One instance of a service; the site replicates between them."""
 
-    def __init__(self, instance_id: str, service: str, zone: str) -> None:
+    def __init__(
+        self, instance_id: str, service: str, zone: str, max_conns: int
+    ) -> None:
         self.id = instance_id
+        self.max_conns = max_conns
         self.service = service
         self.zone = zone
         self.faults = Faults()
@@ -71,7 +74,9 @@
         #: Every statement that ran: its id, its text, the session's values.
         self.runs: list[tuple[str, str, dict[str, str]]] = []
         self.port = 0
-        self._streams: set[anyio.abc.SocketStream] = set()
+        #: Connections open now, and the most there ever were.
+        self.conns = 0
+        self.most_conns = 0
         self._scope: anyio.CancelScope | None = None
 
     # Its log --------------------------------------------------------------
@@ -145,6 +150,8 @@
     # Connections ----------------------------------------------------------
 
     async def _handle(self, stream: anyio.abc.SocketStream) -> None:
+        self.conns += 1
+        self.most_conns = max(self.most_conns, self.conns)
         async with stream:
             try:
                 await self._converse(_Lines(stream))
@@ -155,9 +162,14 @@
                 anyio.ClosedResourceError,
             ):
                 return
+            finally:
+                self.conns -= 1
 
     async def _converse(self, lines: '_Lines') -> None:
         kind, service, *_ = (await lines.receive()).split(' ')
+        if self.conns > self.max_conns:
+            await lines.send('ERROR CONNLIMIT')
+            return
         await self._pause_while_dark()
         if kind != 'CONNECT' or service != self.service:
             await lines.send('ERROR MISROUTED')
@@ -318,11 +330,15 @@
 
     async def send(self, *lines: str) -> None:
         """Send lines in one go."""
-        await self._stream.send(''.join(f'{x}\r\n' for x in lines).encode())
+        await self._stream.send(
+            ''.join(f'{x}\r\n' for x in lines).encode(
+                'utf-8', 'surrogateescape'
+            )
+        )
 
     async def receive(self) -> str:
         """Give the next line."""
         while b'\r\n' not in self._buffer:
             self._buffer += await self._stream.receive()
         line, _, self._buffer = self._buffer.partition(b'\r\n')
-        return line.decode()
+        return line.decode('utf-8', 'surrogateescape')
--- a/standins/tidegrade_edge/_site.py
+++ b/standins/tidegrade_edge/_site.py
@@ -46,6 +46,7 @@
     drain_ms: int = 7000
     grace_s: float = 3.0
     relayed: bool = False
+    max_conns: int = 30
 
 
 @attrs.define
@@ -73,7 +74,9 @@
         self.cfg = cfg or SiteSettings()
         self.store = _store.Store()
         self.instances = [
-            _instance.Instance(f'i-{zone}', self.cfg.service, zone)
+            _instance.Instance(
+                f'i-{zone}', self.cfg.service, zone, self.cfg.max_conns
+            )
             for zone in ZONES
         ]
         self.instances[0].role = 'primary'
@@ -170,7 +173,7 @@
         service = {
             'name': self.cfg.service,
             'health_path': '/health',
-            'max_conns': 30,
+            'max_conns': self.cfg.max_conns,
             'protocol': 'h1',
             'tls': False,
             'sync_replicas': 0,
--- a/tests/adapters/test_peer_messages.py
+++ b/tests/adapters/test_peer_messages.py
@@ -50,3 +50,56 @@
     (group,) = messages.decode(messages.encode(message)).body.seen
     assert group.evidence.position is None
     assert group.evidence.position_at == pytest.approx(float('-inf'))
+
+
+texts = st.text(max_size=20)
+raw_texts = st.binary(max_size=20).map(
+    lambda raw: raw.decode('utf-8', 'surrogateescape')
+)
+statements = st.builds(
+    core.Statement,
+    raw_texts,
+    st.lists(st.one_of(st.none(), texts, st.integers()), max_size=3).map(
+        tuple
+    ),
+    texts,
+    st.one_of(st.none(), st.builds(core.Prepared, texts, st.booleans())),
+)
+requests = st.builds(
+    core.Request,
+    id=st.integers(0, 2**40),
+    tenant=texts,
+    kind=st.sampled_from(core.Kind),
+    deadline=st.floats(0, 100),
+    statements=st.lists(statements, max_size=3).map(tuple),
+    floor=st.one_of(
+        st.none(),
+        st.builds(core.Position, st.integers(0, 99), st.integers(0, 2**60)),
+    ),
+    max_age=st.one_of(st.none(), st.floats(0, 100)),
+    values=st.lists(st.tuples(texts, texts), max_size=3).map(tuple),
+    place_by=st.one_of(st.just(float('inf')), st.floats(0, 100)),
+    attempt_limit=st.one_of(st.just(float('inf')), st.floats(0, 100)),
+    read_only=st.booleans(),
+)
+
+
+@given(requests)
+def test_a_forwarded_request_comes_back_as_it_went(req):
+    forward = messages.Forward(KEY, req)
+    raw = messages.encode(messages.PeerMessage(forward, 3))
+    assert messages.decode(raw).body == forward
+
+
+def test_a_forwarded_answer_comes_back_as_it_went():
+    found = core.ResultSet(('a',), (('x\udcff',), (None,)), 2, 'receipt')
+    answer = core.Answer(
+        core.Outcome.DONE,
+        results=(found,),
+        position=core.Position(2, 7),
+        endpoint='e',
+        acknowledge_until=0.4,
+        trace=core.Trace(2, 1, 0, 'e', 7, 0.4),
+    )
+    raw = messages.encode(messages.PeerMessage(messages.Forwarded(answer)))
+    assert messages.decode(raw).body.answer == answer
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -17,7 +17,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running(folder, cfg=None):
+async def _run(folder, cfg=None):
     """Run a site whose proxies take writes."""
     made = edge.Site(folder, cfg)
     async with anyio.create_task_group() as tasks:
@@ -30,10 +30,16 @@
             tasks.cancel_scope.cancel()
 
 
+@pytest.fixture
+def running():
+    """Give what runs a site of another shape."""
+    return _run
+
+
 @pytest.fixture
 async def site(tmp_path):
     """Give a site whose proxies take writes."""
-    async with running(tmp_path) as made:
+    async with _run(tmp_path) as made:
         yield made
 
 
@@ -41,7 +47,7 @@
 async def relayed(tmp_path):
     """Give a site whose connections run through relays."""
     cfg = edge.SiteSettings(relayed=True)
-    async with running(tmp_path, cfg) as made:
+    async with _run(tmp_path, cfg) as made:
         yield made
 
 
