Let few proxies look at the platform, and probe links from one task

And each link woke its own task every 0.3 s.

Ruled out: pushing rows through the store (a feed on the list returns at each heartbeat of an instance); longer pauses alone (an endpoint that leaves must be known within seconds).

Change: three proxies, by rendezvous hashing among those whom the platform answers, watch it; one that it refuses says so in its heartbeat and leaves the watch to the next. They tell the others of a new version by heartbeat and of a changed list at once; the others ask a neighbour for the configuration and a watcher for the list. Registrations are read once after a proxy's own, rows where a group is served. One task looks which links need a probe. What the platform's loss and return are, is logged once each.

--- a/src/tidegrade/codec/_structure.py
+++ b/src/tidegrade/codec/_structure.py
@@ -87,6 +87,11 @@
     return _converter.unstructure(value)
 
 
+def to_json(value: object) -> bytes:
+    """Give an attrs object, or a collection of such, as JSON."""
+    return orjson.dumps(unstructure(value))
+
+
 def _explain(exc: BaseException, kind: type | None) -> str:
     if isinstance(exc, TypeError | ValueError) and exc.args:
         return str(exc)
--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -31,7 +31,7 @@
         self._server = _links.PeerServer(own, key, handler)
         self._roster = _roster.Roster(deps.proxy_id, cfg.alive_s)
         self._spread = _spread.Spread(
-            _spread.Spot(deps.proxy_id, deps.domain),
+            _roster.Spot(deps.proxy_id, deps.domain),
             self._roster,
             self._links,
             deps.clock,
--- a/src/tidegrade/daemon/_roster.py
+++ b/src/tidegrade/daemon/_roster.py
@@ -7,6 +7,14 @@
 from tidegrade import ports
 
 
+@attrs.frozen
+class Spot:
+    """A proxy's own name and failure domain."""
+
+    proxy: str
+    domain: str
+
+
 @attrs.frozen
 class Peer:
     """The last heartbeat of another proxy and when it was sent.
--- a/src/tidegrade/daemon/_spread.py
+++ b/src/tidegrade/daemon/_spread.py
@@ -38,20 +38,12 @@
 URGENT_PAUSE = 0.02
 
 
-@attrs.frozen
-class Spot:
-    """This proxy's own name and failure domain."""
-
-    proxy: str
-    domain: str
-
-
 class Spread:
     """Decides to whom heartbeats go, and passes on those of others."""
 
     def __init__(
         self,
-        spot: Spot,
+        spot: _roster.Spot,
         roster: _roster.Roster,
         links: _links.Links,
         clock: ports.Clock,
--- a/src/tidegrade/peers/_links.py
+++ b/src/tidegrade/peers/_links.py
@@ -61,6 +61,8 @@
         self._waiting: dict[int, _Question] = {}
         self.connected = False
         self._unheard_since: float | None = None
+        self._conversation: anyio.CancelScope | None = None
+        self._probing = False
         self._send, self._receive = anyio.create_memory_object_stream[
             messages.PeerMessage
         ](LINK_QUEUE)
@@ -114,6 +116,8 @@
 
     def _lost(self) -> None:
         self.connected = False
+        self._conversation = None
+        self._unheard_since = None
         for question in self._waiting.values():
             question.done.set()
         with contextlib.suppress(anyio.WouldBlock):
@@ -134,8 +138,8 @@
             self.connected = True
             self._unheard_since = None
             async with anyio.create_task_group() as tasks:
+                self._conversation = tasks.cancel_scope
                 tasks.start_soon(self._write, frames, tasks.cancel_scope)
-                tasks.start_soon(self._probe, tasks.cancel_scope)
                 await self._read(frames)
                 tasks.cancel_scope.cancel()
 
@@ -148,19 +152,23 @@
                 await frames.send(messages.encode(message))
         scope.cancel()
 
-    async def _probe(self, scope: anyio.CancelScope) -> None:
-        """Give the connection up once it has gone silent."""
-        while True:
-            await anyio.sleep(PROBE_LOOK)
-            since = self._unheard_since
-            if since is None or anyio.current_time() - since < PROBE_AFTER:
-                continue
+    def needs_probe(self, now: float) -> bool:
+        """Tell whether something that was sent got no sign of life."""
+        since = self._unheard_since
+        return since is not None and now - since >= PROBE_AFTER
+
+    async def probe(self) -> None:
+        """Give the connection up if it has gone silent."""
+        if self._probing or self._conversation is None:
+            return
+        conversation, self._probing = self._conversation, True
+        try:
             asked = await self.ask(messages.Probe(), PROBE_LIMIT)
-            if asked.answer is None:
-                logs.write(
-                    logs.LogEvent.PEER_SILENT, address=str(self._address)
-                )
-                scope.cancel()
+        finally:
+            self._probing = False
+        if asked.answer is None and conversation is self._conversation:
+            logs.write(logs.LogEvent.PEER_SILENT, address=str(self._address))
+            conversation.cancel()
 
     async def _read(self, frames: _frames.FrameStream) -> None:
         try:
@@ -278,7 +286,12 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             task_status.started()
-            await anyio.sleep_forever()
+            while True:
+                await anyio.sleep(PROBE_LOOK)
+                now = anyio.current_time()
+                for link in self:
+                    if link.needs_probe(now):
+                        tasks.start_soon(link.probe)
 
     def ensure(self, address: Address) -> None:
         """Have a link to an address, unless it is our own."""
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -39,7 +39,8 @@
     """A proxy is alive, and what it knows in short.
 
     ``host`` and ``port`` are where it takes peers' connections. With
-    ``pass_on`` it asks the receiver to tell others.
+    ``pass_on`` it asks the receiver to tell others; ``blind`` says that
+    the platform does not answer it.
     """
 
     proxy: str
@@ -50,6 +51,7 @@
     draining: bool
     opinions: tuple[GroupOpinion, ...] = ()
     pass_on: bool = False
+    blind: bool = False
 
     def revision(self) -> int:
         """Give a number of 32 bits that changes with the content."""
@@ -174,6 +176,25 @@
     alive: tuple[AliveProxy, ...] = ()
 
 
+@attrs.frozen
+class AskEndpoints:
+    """Asks for the list of endpoints, if it is newer than ``version``."""
+
+    version: int
+
+
+@attrs.frozen
+class EndpointNews:
+    """The list of endpoints, as JSON, as the platform gave it.
+
+    ``version`` rises from reading to reading. ``entries`` is empty if the
+    other side's list is not newer.
+    """
+
+    version: int
+    entries: bytes
+
+
 @attrs.frozen
 class Probe:
     """Asks whether the connection still works."""
@@ -198,6 +219,8 @@
     | Probe
     | Probed
     | Digest
+    | AskEndpoints
+    | EndpointNews
 )
 
 
@@ -245,6 +268,7 @@
     beat.configVersion = body.config_version
     beat.draining = body.draining
     beat.passOn = body.pass_on
+    beat.blind = body.blind
     opinions = beat.init('opinions', len(body.opinions))
     for slot, opinion in zip(opinions, body.opinions, strict=True):
         slot.site = opinion.key.site
@@ -348,6 +372,16 @@
         slot.revision = entry.revision
 
 
+def _put_ask_endpoints(wire: typing.Any, body: AskEndpoints) -> None:
+    wire.init('askEndpoints').version = body.version
+
+
+def _put_endpoints(wire: typing.Any, body: EndpointNews) -> None:
+    listed = wire.init('endpoints')
+    listed.version = body.version
+    listed.entries = body.entries
+
+
 def _put_probe(wire: typing.Any, body: Probe) -> None:
     wire.probe = None
 
@@ -375,6 +409,8 @@
     Probe: _put_probe,
     Probed: _put_probed,
     Digest: _put_digest,
+    AskEndpoints: _put_ask_endpoints,
+    EndpointNews: _put_endpoints,
 }
 
 # Decoders -----------------------------------------------------------------
@@ -407,6 +443,7 @@
         config_version=beat.configVersion,
         draining=beat.draining,
         pass_on=beat.passOn,
+        blind=beat.blind,
         opinions=tuple(
             GroupOpinion(_key_of(o), o.term, o.primaryDown)
             for o in beat.opinions
@@ -478,4 +515,8 @@
     'probe': lambda w: Probe(),
     'probed': lambda w: Probed(),
     'digest': _get_digest,
+    'askEndpoints': lambda w: AskEndpoints(w.askEndpoints.version),
+    'endpoints': lambda w: EndpointNews(
+        w.endpoints.version, bytes(w.endpoints.entries)
+    ),
 }
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -29,6 +29,7 @@
   host @5 :Text;         # where this proxy takes peers' connections
   port @6 :UInt16;
   passOn @7 :Bool;       # asks the receiver to tell others
+  blind @8 :Bool;        # the platform does not answer this proxy
 }
 
 struct AgedHeartbeat {
@@ -47,6 +48,11 @@
   alive @1 :List(AliveProxy);
 }
 
+struct EndpointList {
+  version @0 :UInt64;    # of the platform's store, when it was read
+  entries @1 :Data;      # JSON; empty in a question
+}
+
 struct TermBound {
   # Asks to give up, or says to have given up, permissions below a term.
   site @0 :Text;
@@ -114,5 +120,7 @@
     probe @11 :Void;       # asks whether the connection still works
     probed @12 :Void;
     digest @13 :Digest;
+    askEndpoints @14 :EndpointList;
+    endpoints @15 :EndpointList;
   }
 }
--- a/src/tidegrade/ports/__init__.py
+++ b/src/tidegrade/ports/__init__.py
@@ -21,6 +21,7 @@
 from tidegrade.ports._sessions import Directory
 from tidegrade.ports._sessions import Door
 from tidegrade.ports._sessions import EndpointEntry
+from tidegrade.ports._sessions import EndpointList
 from tidegrade.ports._sessions import SessionService
 from tidegrade.ports._sessions import StatusPages
 
@@ -37,6 +38,7 @@
     'Door',
     'EndpointConn',
     'EndpointEntry',
+    'EndpointList',
     'Endpoints',
     'HistoryEntry',
     'ObjectStore',
--- a/src/tidegrade/ports/_sessions.py
+++ b/src/tidegrade/ports/_sessions.py
@@ -28,17 +28,33 @@
     leads: bool
 
 
+@attrs.frozen
+class EndpointList:
+    """The endpoints of all groups; ``version`` rises with each reading."""
+
+    version: int
+    entries: tuple[EndpointEntry, ...]
+
+
 class Directory(typing.Protocol):
     """The platform's list of endpoints and the accepted configuration."""
 
-    async def endpoints(self) -> result.Result[list[EndpointEntry], str]:
+    async def endpoints(self) -> result.Result[EndpointList, str]:
         """Give the endpoints listed at this moment, or why not."""
 
     async def next_catalogue(self) -> sessions.Catalogue:
-        """Give the configuration; after the first, wait for a change."""
+        """Give the configuration; after the first, wait for a newer one."""
 
-    def watch_closely(self, watching: bool) -> None:
-        """Say whether this proxy looks out for the others."""
+    def watch(self, watching: bool) -> None:
+        """Say whether this proxy looks out for the others.
+
+        One that doesn't asks the platform for no more than the first
+        configuration, and learns of others by :meth:`offer`.
+        """
+
+    @property
+    def answers(self) -> bool:
+        """Tell whether the platform answered when it was last asked."""
 
     @property
     def document(self) -> bytes:
--- a/src/tidegrade/session_proxy/_homes.py
+++ b/src/tidegrade/session_proxy/_homes.py
@@ -1,7 +1,5 @@
 """Which proxies serve which groups, as this one sees it."""
 
-import attrs
-
 from tidegrade import config
 from tidegrade import core
 from tidegrade.daemon import _peers_task
@@ -14,20 +12,12 @@
 AVOIDED_FOR = 1.0
 
 
-@attrs.frozen
-class Spot:
-    """This proxy's own name and failure domain."""
-
-    proxy: str
-    domain: str
-
-
 class HomeMap:
     """Tells whether this proxy serves a group, and else who does."""
 
     def __init__(
         self,
-        spot: Spot,
+        spot: _roster.Spot,
         peers: _peers_task.PeersTask,
         clock: ports.Clock,
     ) -> None:
--- a/src/tidegrade/session_proxy/_members.py
+++ b/src/tidegrade/session_proxy/_members.py
@@ -7,16 +7,16 @@
 from tidegrade import logs
 from tidegrade import ports
 
-#: Pauses between the first looks, in seconds: all proxies of a deployment
-#: may start at the same moment, and each must find those after it.
+#: Pauses between the first looks, in seconds, while nobody is heard.
 FIRST_PAUSES = (0.3, 1.0, 2.0)
 
 
 class MembersTask:
-    """Reads the registrations, often at first and rarely afterwards.
+    """Reads the registrations, once this proxy has its own.
 
-    A proxy that starts later is heard from, since it reads the
-    registrations itself and sends heartbeats to all it finds.
+    Of any two proxies the one that registers later finds the other, and is
+    heard by it from then on, so one look is enough where others live. The
+    rare ones after it find those whose heartbeats were lost.
     """
 
     def __init__(
@@ -28,15 +28,23 @@
         self._table = table
         self._peers = peers
         self._interval = interval
+        self._registered = anyio.Event()
+
+    def registered(self) -> None:
+        """Say that this proxy can be found by others."""
+        self._registered.set()
 
     async def run(self) -> None:
         """Look until cancelled."""
+        await self._registered.wait()
         for pause in FIRST_PAUSES:
             await self._look()
             await anyio.sleep(pause)
+            if self._peers.alive():
+                break
         while True:
-            await self._look()
             await anyio.sleep(self._interval)
+            await self._look()
 
     async def _look(self) -> None:
         listed = await self._table.scan(_rows.HOLDERS)
--- a/src/tidegrade/session_proxy/_peer_service.py
+++ b/src/tidegrade/session_proxy/_peer_service.py
@@ -12,7 +12,8 @@
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
-from tidegrade.session_proxy import _config_news
+from tidegrade.session_proxy import _endpoint_list
+from tidegrade.session_proxy import _platform_watch
 
 #: Said of a request for a group that this proxy does not serve (any more).
 _ELSEWHERE = core.Answer(core.Outcome.NOT_RUN, code=core.Code.DRAINING)
@@ -29,7 +30,8 @@
         peers: _peers_task.PeersTask,
         groups: dict[messages.GroupKey, _group_task.GroupTask],
         evidence: _evidence_task.EvidenceTask,
-        config_news: _config_news.ConfigNews,
+        watch: _platform_watch.PlatformWatch,
+        endpoints: _endpoint_list.EndpointListTask,
         next_number: Callable[[], int],
         clock: ports.Clock,
     ) -> None:
@@ -37,7 +39,8 @@
         self._peers = peers
         self._groups = groups
         self._evidence = evidence
-        self._config_news = config_news
+        self._watch = watch
+        self._endpoints = endpoints
         self._next_number = next_number
         self._clock = clock
         #: Requests of other proxies that are being served.
@@ -63,7 +66,11 @@
         elif isinstance(body, messages.AskEvidence):
             return self._evidence.answer(body)
         elif isinstance(body, messages.AskConfig):
-            return self._config_news.answer(body)
+            return self._watch.answer(body)
+        elif isinstance(body, messages.AskEndpoints):
+            return self._endpoints.answer(body)
+        elif isinstance(body, messages.EndpointNews):
+            self._endpoints.heard(body)
         return None
 
     async def _serve(self, body: messages.Forward) -> messages.Forwarded:
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -17,24 +17,25 @@
 from tidegrade.daemon import _group_task
 from tidegrade.daemon import _peers_task
 from tidegrade.daemon import _registration
+from tidegrade.daemon import _roster
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
+from tidegrade import ports
 from tidegrade.session_proxy import _accounts
-from tidegrade.session_proxy import _config_news
+from tidegrade.session_proxy import _endpoint_list
 from tidegrade.session_proxy import _groups
 from tidegrade.session_proxy import _homes
 from tidegrade.session_proxy import _isolation
 from tidegrade.session_proxy import _members
 from tidegrade.session_proxy import _peer_key
 from tidegrade.session_proxy import _peer_service
+from tidegrade.session_proxy import _platform_watch
 from tidegrade.session_proxy import _routed_group
 from tidegrade.session_proxy import _settings
 from tidegrade import sessions
 
 #: Pause after a failed read of the configuration, in seconds.
 CATALOGUE_RETRY = 0.3
-#: Pause between reads of the endpoint list while a group lacks its row.
-ENDPOINTS_RETRY = 0.8
 #: Pause between looks for sessions that rest and are to be closed.
 CLOSING_LOOK = 0.05
 #: Pause between looks which groups to serve, in seconds: about one
@@ -122,38 +123,46 @@
         self._evidence = _evidence_task.EvidenceTask(
             deps, peers, lambda: self._groups
         )
-        self._news = _config_news.ConfigNews(
-            deps.proxy_id,
+        spot = _roster.Spot(deps.proxy_id, deps.domain)
+        self._watch = _platform_watch.PlatformWatch(
+            spot,
             self._outside.directory,
             peers,
             self._config_version,
+            deps.rng,
+        )
+        endpoints = _endpoint_list.EndpointListTask(
+            self._outside.directory,
+            peers,
+            self._watch,
+            self._learn_endpoints,
+            lambda: not self._all_have_rows(),
         )
         self._peer_service = _peer_service.PeerService(
             deps.proxy_id,
             peers,
             self._groups,
             self._evidence,
-            self._news,
+            self._watch,
+            endpoints,
             lambda: next(self._numbers),
             deps.clock,
         )
-        self._homes = _homes.HomeMap(
-            _homes.Spot(deps.proxy_id, deps.domain), peers, deps.clock
-        )
+        self._homes = _homes.HomeMap(spot, peers, deps.clock)
         self._isolation = _isolation.Isolation(deps.domain, deps.clock, peers)
         registration = _registration.Registration(deps, self._registered)
-        members = _members.MembersTask(
+        self._members = _members.MembersTask(
             deps.table, peers, self._cfg.members_poll_s
         )
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             await tasks.start(peers.run)
             tasks.start_soon(registration.run)
-            tasks.start_soon(members.run)
+            tasks.start_soon(self._members.run)
             tasks.start_soon(self._evidence.run)
-            tasks.start_soon(self._news.run)
+            tasks.start_soon(self._watch.run)
             tasks.start_soon(self._watch_catalogue)
-            tasks.start_soon(self._watch_endpoints)
+            tasks.start_soon(endpoints.run)
             tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._watch_isolation)
             tasks.start_soon(self._watch_homes)
@@ -301,22 +310,17 @@
             self._metrics.config_version.set({}, found.version)
             logs.write(logs.LogEvent.CONFIG_ADOPTED, version=found.version)
             self._adopt()
-            self._news.adopted()
+            self._watch.adopted()
 
     def _config_version(self) -> int:
         """Give the version in force; 0 before the first."""
         return self._catalogue.version if self._catalogue else 0
 
-    async def _watch_endpoints(self) -> None:
-        while True:
-            listed = await self._outside.directory.endpoints()
-            if listed.is_ok():
-                self._list.learn(listed.unwrap(), self._outside.clock.now())
-                self._adopt()
-            pause = self._cfg.endpoints_poll_s
-            if not self._all_have_rows():
-                pause = min(pause, ENDPOINTS_RETRY)
-            await anyio.sleep(pause)
+    def _learn_endpoints(
+        self, entries: tuple[ports.EndpointEntry, ...]
+    ) -> None:
+        self._list.learn(entries, self._outside.clock.now())
+        self._adopt()
 
     def _adopt(self) -> None:
         """Bring the groups in line with the configuration and the list."""
@@ -376,6 +380,7 @@
 
     def _registered(self) -> None:
         self._is_registered = True
+        self._members.registered()
         for group in self._groups.values():
             group.post(core.Registered(True))
 
@@ -389,6 +394,7 @@
             port=self._cfg.peer_port,
             config_version=self._config_version(),
             draining=self._stopping.is_set(),
+            blind=self._watch.blind,
             opinions=tuple(
                 g.opinion() for g in self._groups.values() if g.serving
             ),
--- a/src/tidegrade/session_proxy/_settings.py
+++ b/src/tidegrade/session_proxy/_settings.py
@@ -27,9 +27,8 @@
     unready_s: float = 2.2
     heartbeat_s: float = 0.5
     alive_s: float = 1.6
-    endpoints_poll_s: float = 3.0
-    row_interval_s: float = 20.0
-    members_poll_s: float = 10.0
+    row_interval_s: float = 60.0
+    members_poll_s: float = 60.0
     settle_s: float = 2.4
     suspect_after_s: float = 0.6
     report_interval_s: float = 0.35
--- a/tests/daemon/test_spread.py
+++ b/tests/daemon/test_spread.py
@@ -80,7 +80,7 @@
     def add(self, name: str, domain: str) -> None:
         roster = _roster.Roster(name, ALIVE)
         spread = _spread.Spread(
-            _spread.Spot(name, domain),
+            _roster.Spot(name, domain),
             roster,
             Wire(self, name),
             self.clock,
