Blame nobody for this process's own pause

Ruled out: a longer time before a primary counts as down (it lengthens every real failover).

Change: a pause is noticed before the tick that follows it. A row that was asked for is asked for again every half second until the platform answers. Groups that are not served tick twice a second.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -70,6 +70,7 @@
 from tidegrade.core._row import Attempt
 from tidegrade.core._row import Fork
 from tidegrade.core._row import GroupRow
+from tidegrade.core._state import LONGEST_DELAY
 from tidegrade.core._state import LONGEST_PAUSE
 from tidegrade.core._state import MachineSettings
 from tidegrade.core._token import SessionToken
@@ -95,6 +96,7 @@
 from tidegrade.core._types import Trace
 
 __all__ = [
+    'LONGEST_DELAY',
     'LONGEST_PAUSE',
     'NO_LOSS',
     'POSTGRESQL',
--- a/src/tidegrade/core/_events.py
+++ b/src/tidegrade/core/_events.py
@@ -115,7 +115,9 @@
 
 @attrs.frozen
 class Paused:
-    """This process stood still for longer than ``LONGEST_PAUSE``."""
+    """This process stood still for so many seconds."""
+
+    seconds: float
 
 
 @attrs.frozen
--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -128,6 +128,7 @@
             sv.ControlEnded: self._control_ended,
             sv.HoldersListed: self._holders_listed,
             sv.GaveUp: self._peer_gave_up,
+            sv.Woke: self._woke,
         }
 
     @property
@@ -178,6 +179,14 @@
         elif self._reach_since == float('inf'):
             self._reach_since = now
 
+    def _woke(self, event: sv.Woke, now: float) -> None:
+        """Begin nothing until it is known again how things stand.
+
+        After a pause the other proxies seem silent, and the primary too.
+        """
+        self._wanted_since = None
+        self._reach_since = max(self._reach_since, now)
+
     def _note_row(self, row: _row.GroupRow | None, now: float) -> None:
         if row != self._known:
             if self._known is not None:
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -381,8 +381,24 @@
         _sharing.take_evidence(self._state, event)
 
     def _paused(self, event: _events.Paused, now: float) -> None:
-        self._state.paused_at = now
-        self._state.order(_events.FetchRow())
+        self._excuse(now)
+        if event.seconds > _state.LONGEST_PAUSE:
+            self._state.paused_at = now
+            self._state.order(_events.FetchRow())
+
+    def _excuse(self, now: float) -> None:
+        """Blame nobody for this process's own pause.
+
+        What endpoints have answered meanwhile is still to be read.
+        """
+        for view in self._state.views.values():
+            view.excuse(now)
+        for conn in self._state.pool:
+            if conn.job is not None:
+                read_by = now + _state.READING_TIME
+                conn.deadline = max(conn.deadline, read_by)
+            elif conn.state is _pool.ConnState.OPENING:
+                conn.sent_at = now
 
     def _polls_for_peers(
         self, event: _events.PollsForPeers, now: float
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -18,6 +18,12 @@
 #: the group's row before it trusts the one it has: meanwhile the term may
 #: have ended and the fences of that change may have been taken back.
 LONGEST_PAUSE = 0.8
+#: A process that stood still for longer than this, in seconds, blames no
+#: endpoint for answers that are overdue: less than the shortest silence
+#: after which one counts as down, more than a busy VM loses at a time.
+LONGEST_DELAY = 0.25
+#: How long answers that have come meanwhile may take to be read, in seconds.
+READING_TIME = 0.2
 #: How long a fence stays after the next term is published, in seconds: so
 #: long that every proxy knows of the term, stands still or is cut off.
 FENCE_KEPT = 1.2
--- a/src/tidegrade/core/_supervision.py
+++ b/src/tidegrade/core/_supervision.py
@@ -31,6 +31,11 @@
     reachable: frozenset[str]
 
 
+@attrs.frozen
+class Woke:
+    """This process stood still: what it knows of others is old."""
+
+
 @attrs.frozen
 class RowRead:
     """The row as the platform holds it; None if there is none."""
@@ -89,6 +94,7 @@
     | ControlEnded
     | HoldersListed
     | GaveUp
+    | Woke
 )
 
 # Commands -----------------------------------------------------------------
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -45,6 +45,13 @@
             self.report = self._completed(report)
             self.sent_at = sent_at
 
+    def excuse(self, now: float) -> None:
+        """Count its silence from now on; it could not be heard before."""
+        self.failures = 0
+        self.refused = False
+        self.first_failure = float('inf')
+        self.seen_at = max(self.seen_at, now)
+
     def _completed(
         self, report: _types.EndpointReport
     ) -> _types.EndpointReport:
--- a/src/tidegrade/core/supervision.py
+++ b/src/tidegrade/core/supervision.py
@@ -15,6 +15,7 @@
 from tidegrade.core._supervision import RunControl
 from tidegrade.core._supervision import SupervisorCommand
 from tidegrade.core._supervision import SupervisorEvent
+from tidegrade.core._supervision import Woke
 from tidegrade.core._supervision import WriteRow
 
 __all__ = [
@@ -33,5 +34,6 @@
     'RunControl',
     'SupervisorCommand',
     'SupervisorEvent',
+    'Woke',
     'WriteRow',
 ]
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -22,8 +22,14 @@
 
 #: Shortest pause between ticks, in seconds.
 MIN_TICK = 0.001
-#: Pause between observations for the supervisor, in seconds.
-OBSERVE_INTERVAL = 0.05
+#: Longest pause between ticks while no request is open, in seconds: about
+#: a sixth of the shortest time after which an endpoint counts as silent.
+RESTING_TICK = 0.1
+#: The same for a group that this proxy does not serve.
+AWAY_TICK = 0.5
+#: Pause between observations for the supervisor, in seconds; while it
+#: changes the primary it gets one with each tick.
+OBSERVE_INTERVAL = 0.1
 
 _NOTES = {
     'term_ending': logs.LogEvent.TERM_ENDING,
@@ -79,6 +85,7 @@
             self.post,
             deps.clock.now,
             deps.row_interval_s,
+            lambda: self.serving,
         )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._next_observation = 0.0
@@ -158,6 +165,8 @@
         ``max_proxies`` share its connections; 0 if this one has none.
         """
         self._config_version = version
+        if max_proxies and not self.serving:
+            self._rows.fetch()
         self.serving = max_proxies > 0
         self.sharers = max_proxies
         self.post(core.ConfigChanged(cfg, max_proxies))
@@ -186,20 +195,35 @@
     async def _tick(self) -> None:
         last = self._deps.clock.now()
         while True:
+            wait = self.machine.next_wake() - self._deps.clock.now()
+            planned = min(max(wait, MIN_TICK), self._longest_tick())
+            await anyio.sleep(planned)
             now = self._deps.clock.now()
-            if now - last > core.LONGEST_PAUSE:
-                logs.write(
-                    logs.LogEvent.PAUSED,
-                    group=str(self.key),
-                    seconds=round(now - last, 3),
-                )
-                self._handle(core.Paused())
+            # Told before the tick, which would blame others for it.
+            self._note_pause(now - last, planned)
             last = now
-            wait = self.machine.next_wake() - self._deps.clock.now()
-            await anyio.sleep(min(max(wait, MIN_TICK), self._deps.tick_s))
             self._handle(core.Tick())
             self._observe()
 
+    def _note_pause(self, seconds: float, planned: float) -> None:
+        """Tell the machines if this process has stood still."""
+        if seconds - planned <= core.LONGEST_DELAY:
+            return
+        logs.write_bounded(
+            logs.LogEvent.PAUSED,
+            group=str(self.key),
+            seconds=round(seconds, 3),
+        )
+        self._handle(core.Paused(seconds))
+        self._handle(supervision.Woke())
+
+    def _longest_tick(self) -> float:
+        if self.machine.in_use() or not self._watching():
+            return self._deps.tick_s
+        if self.serving:
+            return max(self._deps.tick_s, RESTING_TICK)
+        return AWAY_TICK
+
     def _handle(self, event: core.Event | supervision.SupervisorEvent) -> None:
         now = self._deps.clock.now()
         if isinstance(event, supervision.SupervisorEvent):
@@ -224,11 +248,10 @@
 
     def _observe(self) -> None:
         now = self._deps.clock.now()
-        if now < self._next_observation:
+        if now < self._next_observation and self._watching():
             return
         self._next_observation = now + OBSERVE_INTERVAL
-        watching = self._supervisor.step is core.Step.WATCH
-        if not self.serving and watching:
+        if not self.serving and self._watching():
             # Who has no connections can neither judge nor fence.
             self._poll_for_peers(False)
             return
@@ -271,6 +294,10 @@
             self._found_down = own.primary_down
             self._peers.beat_now()
 
+    def _watching(self) -> bool:
+        """Tell whether no change of the primary is under way here."""
+        return self._supervisor.step is core.Step.WATCH
+
     def _poll_for_peers(self, wanted: bool) -> None:
         if wanted != self._polls_for_peers:
             self._polls_for_peers = wanted
--- a/src/tidegrade/daemon/_row_task.py
+++ b/src/tidegrade/daemon/_row_task.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import anyio
+import result
 
 from tidegrade.codec import _rows
 from tidegrade import core
@@ -12,6 +13,9 @@
 
 #: Shortest pause between reads that were asked for, in seconds.
 MIN_READ_INTERVAL = 0.05
+#: Pause before a read that was asked for is repeated, in seconds, after
+#: the platform did not answer: calls are billed, also those it refuses.
+RETRY_PAUSE = 0.5
 #: Reads that may tell what became of a write without an answer.
 SETTLE_READS = 5
 SETTLE_PAUSE = 0.1
@@ -29,9 +33,11 @@
         post: Post,
         now: Callable[[], float],
         interval: float,
+        serving: Callable[[], bool],
     ) -> None:
         self._now = now
         self._interval = interval
+        self._serving = serving
         self._key = key
         self._table = table
         self._post = post
@@ -57,14 +63,26 @@
 
     async def _keep_reading(self) -> None:
         while True:
-            asked_at = self._now()
-            found = await self._read()
-            if found is not None:
-                self._post(core.RowSeen(found[0], asked_at))
+            asked = self._wanted.is_set()
+            if asked or self._serving():
+                self._wanted = anyio.Event()
+                answered = await self._look()
+                if asked and not answered:
+                    # Whoever asked still needs it.
+                    self._wanted.set()
+                    await anyio.sleep(RETRY_PAUSE)
             await anyio.sleep(MIN_READ_INTERVAL)
             with anyio.move_on_after(self._interval):
                 await self._wanted.wait()
-            self._wanted = anyio.Event()
+
+    async def _look(self) -> bool:
+        """Read the row; tell whether the platform answered."""
+        asked_at = self._now()
+        answer = await self._table.read(self._key)
+        row = self._decoded(answer)
+        if row is not None:
+            self._post(core.RowSeen(row[0], asked_at))
+        return answer.is_ok()
 
     async def _carry_out(self, order: supervision.SupervisorCommand) -> None:
         if isinstance(order, supervision.ReadRow):
@@ -75,7 +93,12 @@
             await self._list_holders()
 
     async def _read(self) -> tuple[core.GroupRow, str] | None:
-        answer = await self._table.read(self._key)
+        return self._decoded(await self._table.read(self._key))
+
+    def _decoded(
+        self, answer: result.Result[ports.Versioned | None, str]
+    ) -> tuple[core.GroupRow, str] | None:
+        """Give the row and its tag, if there is a readable one."""
         found = answer.unwrap_or(None)
         if found is None:
             return None
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -45,6 +45,8 @@
         self.failing: set[str] = set()
         self.failures: dict[str, core.JobFailed] = {}
         self.jobs: list[tuple[str, core.Job]] = []
+        #: Jobs that froze, by their connection.
+        self.running: dict[int, core.Job] = {}
         self.tell(core.Registered(True))
         self.tell(core.RowSeen(ROW))
         for _ in range(3):
@@ -70,6 +72,7 @@
             name = self.endpoint_of[command.conn]
             self.jobs.append((name, command.job))
             if name in self.frozen:
+                self.running[command.conn] = command.job
                 return []
             if name in self.failures:
                 return [core.JobEnded(command.conn, self.failures[name])]
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -120,13 +120,42 @@
 
 def test_a_process_that_stood_still_asks_for_the_row_first(checking):
     assert checking.core.may_acknowledge(checking.now)
-    checking.tell(core.Paused())
+    checking.tell(core.Paused(2.0))
     checking.tell(core.RowSeen(machines.ROW, checking.now - 1.0))
     assert not checking.core.may_acknowledge(checking.now)
     checking.tell(core.RowSeen(machines.ROW, checking.now))
     assert checking.core.may_acknowledge(checking.now)
 
 
+def test_a_process_that_stood_still_blames_no_endpoint(checking):
+    """Found by the soak, seed 210: it replaced a healthy primary."""
+    checking.frozen = set(machines.NAMES)
+    for _ in range(30):
+        checking.tick()
+    view = checking.core.views['a']
+    assert not core.is_down(view, checking.core.cfg, checking.now)
+    checking.now += 2.0
+    checking.tell(core.Paused(2.0))
+    checking.tick(0.0)
+    assert not core.is_down(view, checking.core.cfg, checking.now)
+
+
+def test_answers_that_came_during_a_pause_are_taken(checking):
+    checking.frozen = set(machines.NAMES)
+    checking.read(1, max_age=0.0, attempt_limit=0.5)
+    checking.now += 0.7
+    checking.tell(core.Paused(0.7))
+    checking.tick(0.0)
+    (conn,) = [
+        conn
+        for conn in checking.running
+        if isinstance(checking.running[conn], core.ReadJob)
+    ]
+    done = core.JobDone(checking.reports['a'], after_lsn=100)
+    checking.tell(core.JobEnded(conn, done))
+    assert checking.answers[1].outcome is core.Outcome.DONE
+
+
 def test_a_fence_is_taken_back_only_after_a_while(checking):
     checking.new_term()
     for _ in range(20):
--- a/tests/core/test_failover.py
+++ b/tests/core/test_failover.py
@@ -248,3 +248,18 @@
     bench.now += 1.0
     bench.observe()
     assert bench.take(supervision.ReadRow)
+
+
+def test_nothing_begins_right_after_a_pause(bench):
+    """Found by the soak, seed 210: a healthy primary was replaced."""
+    bench.observe(down=False)
+    bench.now += 5.0
+    bench.tell(supervision.Woke())
+    bench.observe()
+    bench.now += 1.0
+    bench.observe()
+    assert bench.take(supervision.ReadRow) == []
+    bench.now += 1.0
+    bench.observe()
+    bench.observe()
+    assert len(bench.take(supervision.ReadRow)) == 1
--- /dev/null
+++ b/tests/daemon/test_row_task.py
@@ -0,0 +1,75 @@
+"""Reading a group's row from a platform that does not always answer."""
+
+import anyio
+import pytest
+import result
+
+from tidegrade.codec import _rows
+from tidegrade import core
+from tidegrade.daemon import _row_task
+from tidegrade import ports
+
+pytestmark = pytest.mark.anyio
+
+ROW = core.GroupRow(1, 'a', frozenset('abc'))
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+class Table:
+    """A table whose first reads fail."""
+
+    def __init__(self, failing: int) -> None:
+        self.failing = failing
+
+    async def read(self, key: str):
+        self.failing -= 1
+        if self.failing >= 0:
+            return result.Err('down')
+        return result.Ok(ports.Versioned(_rows.encode_row(ROW), '7'))
+
+
+async def test_a_read_that_was_asked_for_is_repeated_until_answered():
+    """Found by the soak, seed 215: writes were refused for a minute."""
+    seen = []
+    task = _row_task.RowTask(
+        'k',
+        Table(failing=2),
+        seen.append,
+        anyio.current_time,
+        interval=600.0,
+        serving=lambda: True,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(task.run)
+        await anyio.sleep(0.05)
+        task.fetch()
+        with anyio.fail_after(10):
+            while not seen:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert seen[0].row == ROW
+
+
+async def test_a_group_that_is_not_served_is_not_read_unasked():
+    seen = []
+    task = _row_task.RowTask(
+        'k',
+        Table(failing=0),
+        seen.append,
+        anyio.current_time,
+        interval=0.01,
+        serving=lambda: False,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(task.run)
+        await anyio.sleep(0.3)
+        assert seen == []
+        task.fetch()
+        with anyio.fail_after(10):
+            while not seen:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
