Let endpoints that leave give up their votes

Cause: the members of a term were all endpoints ever seen. After a primary was released, the group's next term had four: the one that left and the one in its place, both in the same domain. A replica that was replaced never changed the members at all, so that its group could not have survived the next loss.

Ruled out: counting only endpoints that answer (a majority of those is none of the group); dropping a vote when nobody is in its place (two members bear no loss).

Change: core._membership says who votes next: those that stay, and of those that leave or that no list has named for six seconds only as many as nobody replaces. When others have stood in for four seconds and all answer, the term ends for that alone. What a supervisor watches between attempts moved from _failover.py to _watching.py.

Also, found while reading for a shorter change of primary: a proxy that has given up its permission, or has not registered, dated positions as if nobody else could lead for the rest of the second.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -21,26 +21,18 @@
 import attrs
 
 from tidegrade.core import _choice
-from tidegrade.core import _detector
 from tidegrade.core import _jobs
+from tidegrade.core import _membership
 from tidegrade.core import _permission
 from tidegrade.core import _row
 from tidegrade.core import _supervision as sv
 from tidegrade.core import _traits
 from tidegrade.core import _turns
 from tidegrade.core import _types
+from tidegrade.core import _watching
 
 #: Time that a replica gets to catch up with one that may not lead.
 CATCH_UP_LIMIT = 1.5
-#: Pause between the turns of proxies to supervise, in seconds.
-TURN = 0.25
-#: A term lasts at least this long, against flapping, in seconds.
-MIN_TERM = 2.0
-#: How long a majority must have answered again before an attempt, in
-#: seconds: an endpoint that failed is asked again within about a second.
-REACH_SETTLES = 1.5
-#: An attempt of another supervisor may be taken over after this silence.
-TAKEOVER_AFTER = 2.0
 #: Time that each step may take before the attempt is abandoned.
 STEP_LIMIT = 3.0
 #: Time that one job on an endpoint may take.
@@ -110,10 +102,7 @@
         self._step = Step.WATCH
         self._since = 0.0
         self._not_before = 0.0
-        self._wanted_since: float | None = None
-        self._row_since = float('-inf')
-        self._reach_since = float('-inf')
-        self._known: _row.GroupRow | None = None
+        self._watch = _watching.Watch(group, proxy)
         self._seen: sv.Observed | None = None
         self._work = _Work()
         self._next_control = 1
@@ -148,77 +137,18 @@
 
     def _observed(self, event: sv.Observed, now: float) -> None:
         self._seen = event
-        self._note_row(event.row, now)
-        self._note_reach(event, now)
+        self._watch.observe(event, now)
         if self._step is not Step.WATCH:
             self._go_on(now)
             return
-        reason = self._reason(now)
+        reason = self._watch.reason_to_begin(event, now)
         if not reason:
-            self._wanted_since = None
             self._follow(now)
-            return
-        if self._wanted_since is None:
-            self._wanted_since = now
-        turn = _turns.rank(self._group, self._proxy, event.peers)
-        if now < max(self._wanted_since + turn * TURN, self._not_before):
-            return
-        self._start(reason, now)
-
-    def _note_reach(self, seen: sv.Observed, now: float) -> None:
-        """Note since when a majority of the members answers.
-
-        From where it doesn't, no fence could be raised, and others may see
-        more. When a cut heals, the primary may be the last to answer.
-        """
-        row = seen.row
-        if row is None:
-            return
-        if len(seen.reachable & row.members) < row.majority:
-            self._reach_since = float('inf')
-        elif self._reach_since == float('inf'):
-            self._reach_since = now
+        elif now >= self._not_before:
+            self._start(reason, now)
 
     def _woke(self, event: sv.Woke, now: float) -> None:
-        """Begin nothing until it is known again how things stand.
-
-        After a pause the other proxies seem silent, and the primary too.
-        """
-        self._wanted_since = None
-        self._reach_since = max(self._reach_since, now)
-
-    def _note_row(self, row: _row.GroupRow | None, now: float) -> None:
-        if row != self._known:
-            if self._known is not None:
-                self._row_since = now
-            self._known = row
-
-    def _reason(self, now: float) -> str:
-        """Say why the term should end now; empty if it should not."""
-        seen = self._seen
-        assert seen is not None
-        if seen.row is None:
-            if seen.cfg.initial_primary not in seen.cfg.endpoints:
-                return ''
-            return 'the group has no row'
-        if now - self._reach_since < REACH_SETTLES:
-            return ''
-        row_age = now - self._row_since
-        if seen.row.attempt is not None:
-            own = seen.row.attempt.by == self._proxy
-            if own or row_age > TAKEOVER_AFTER:
-                return 'an attempt has stopped half-way'
-            return ''
-        if row_age < MIN_TERM:
-            return ''
-        if _detector.agreed_down(seen.own, seen.opinions):
-            return 'the primary is down'
-        if seen.row.primary in seen.leaving:
-            return 'the primary is leaving'
-        newer = seen.config_version > seen.row.config_version
-        if newer and frozenset(seen.cfg.endpoints) != seen.row.members:
-            return 'the configuration names other endpoints'
-        return ''
+        self._watch.woke(now)
 
     def _follow(self, now: float) -> None:
         """Make the replicas follow the primary; the first in turn does."""
@@ -243,7 +173,7 @@
 
     def _start(self, reason: str, now: float) -> None:
         assert self._seen is not None
-        to_come = frozenset(self._seen.cfg.endpoints)
+        to_come = _membership.to_come(self._seen)
         self._work = _Work(
             reason=reason,
             to_come=to_come,
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -357,7 +357,7 @@
                 state.close(conn)
 
     def _give_up(self, event: _events.GiveUp, now: float) -> None:
-        self._state.permission.give_up(event.below)
+        self._state.permission.give_up(event.below, now)
         self._state.order(_events.FetchRow())
 
     def _registered(self, event: _events.Registered, now: float) -> None:
--- a/src/tidegrade/core/_permission.py
+++ b/src/tidegrade/core/_permission.py
@@ -51,6 +51,7 @@
         self._rules = PermissionRules()
         self._term = 0
         self._given_up_below = 0
+        self._given_up_at = float('inf')
         self._grants: dict[str, Grant] = {}
 
     @property
@@ -64,6 +65,8 @@
         self._term = term
         self._rules = rules
         self._grants.clear()
+        if term >= self._given_up_below:
+            self._given_up_at = float('inf')
 
     def answered(self, member: str, promised: int, sent_at: float) -> None:
         """Take in a poll answer of ``member``."""
@@ -74,8 +77,10 @@
             return
         self._grants[member] = Grant(sent_at, promised)
 
-    def give_up(self, below: int) -> None:
+    def give_up(self, below: int, now: float) -> None:
         """Never again hold a permission for a term below ``below``."""
+        if self._term < below:
+            self._given_up_at = min(self._given_up_at, now)
         self._given_up_below = max(self._given_up_below, below)
 
     def valid_until(self) -> float:
@@ -100,10 +105,11 @@
     def covered_until(self) -> float:
         """Give a time until which nobody else could lead.
 
-        What the primary showed before then was the group's newest state,
-        also if the permission has been given up since.
+        What the primary showed before then was the group's newest state.
+        Once the permission is given up another may lead, however long the
+        grants would have lasted.
         """
-        return self._granted_until()
+        return min(self._granted_until(), self._given_up_at)
 
     def grants(self) -> dict[str, Grant]:
         """Give the newest answer of each member, to tell peers of it."""
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -165,6 +165,9 @@
         The primary showed it when asked at ``at`` or later, and nobody
         else could lead at that moment.
         """
+        if not self._state.registered:
+            # Nobody waits for this proxy before another endpoint leads.
+            return None
         sample = self._state.samples.since(at)
         covered = self._state.permission.covered_until()
         if sample is None or sample.at > covered:
--- a/src/tidegrade/core/_supervision.py
+++ b/src/tidegrade/core/_supervision.py
@@ -17,7 +17,8 @@
     ``leaving`` are the endpoints that the VM list wants empty. ``peers``
     are the proxies heard lately, ``opinions`` what they think.
     ``to_follow`` are the endpoints that may not follow the primary,
-    ``reachable`` those that have not failed to answer this proxy.
+    ``reachable`` those that have not failed to answer this proxy, ``gone``
+    those that no list has named for long.
     """
 
     cfg: config.Group
@@ -29,6 +30,7 @@
     leaving: frozenset[str]
     to_follow: frozenset[str]
     reachable: frozenset[str]
+    gone: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -62,6 +62,8 @@
         self.serving = max_proxies > 0
         #: How many proxies share those connections.
         self.sharers = max_proxies
+        #: Endpoints that no list names any more.
+        self.gone: frozenset[str] = frozenset()
         self._deps = deps
         self._peers = peers
         self._config_version = 0
@@ -270,6 +272,7 @@
                 leaving=frozenset(leaving),
                 to_follow=self.machine.to_follow(now),
                 reachable=self.machine.reachable(),
+                gone=self.gone,
             )
         )
 
--- a/src/tidegrade/session_proxy/__init__.py
+++ b/src/tidegrade/session_proxy/__init__.py
@@ -17,9 +17,7 @@
 def run(cfg: ProxySettings, outside: Outside) -> int:
     """Run a proxy to its end and give the exit status."""
     try:
-        anyio.run(
-            _run, cfg, outside, backend_options={'use_uvloop': True}
-        )
+        anyio.run(_run, cfg, outside, backend_options={'use_uvloop': True})
     except BaseExceptionGroup as group:
         broken = group.subgroup(core.InvariantBroken)
         if broken is None:
--- a/src/tidegrade/session_proxy/_groups.py
+++ b/src/tidegrade/session_proxy/_groups.py
@@ -13,6 +13,12 @@
 SITE = 'platform'
 
 
+#: Lists must have lacked an endpoint for this long before it counts as
+#: gone, in seconds: entries that lapse while the platform's store is away
+#: are back about two seconds after its return.
+GONE_AFTER = 6.0
+
+
 @attrs.define
 class GroupList:
     """Joins the configuration with the list of endpoints.
@@ -31,6 +37,8 @@
     report_interval: float
     settle: float
     _grown_at: dict[str, float] = attrs.field(factory=dict)
+    _listed_at: dict[str, float] = attrs.field(factory=dict)
+    _learned_at: float = float('-inf')
     _seen: dict[str, dict[str, ports.EndpointEntry]] = attrs.field(
         factory=dict
     )
@@ -45,6 +53,9 @@
             name = f'{entry.host}:{entry.port}'
             if name not in group or group[name].leaving:
                 group[name] = entry
+        self._learned_at = now
+        for group in listed.values():
+            self._listed_at.update(dict.fromkeys(group, now))
         for group_name, group in listed.items():
             known = self._seen.setdefault(group_name, {})
             if group.keys() - known.keys():
@@ -61,6 +72,7 @@
         for name in members:
             host, _, port = name.rpartition(':')
             if name not in known:
+                self._listed_at.setdefault(name, self._learned_at)
                 known[name] = ports.EndpointEntry(
                     id='',
                     group=group,
@@ -77,6 +89,15 @@
         known = self._seen.get(group, {})
         return frozenset(name for name, e in known.items() if e.leaving)
 
+    def gone(self, group: str) -> frozenset[str]:
+        """Give the endpoints of a group that no list names any more."""
+        oldest = self._learned_at - GONE_AFTER
+        return frozenset(
+            name
+            for name in self._seen.get(group, {})
+            if self._listed_at.get(name, self._learned_at) < oldest
+        )
+
     def config_of(
         self,
         entry: sessions.GroupEntry,
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -343,6 +343,7 @@
             group = self._groups[key]
             group.set_config(cfg, 0, self._sharers(entry.name, cfg))
             group.post(core.LeavingChanged(self._list.leaving(entry.name)))
+            group.gone = self._list.gone(entry.name)
 
     def _sharers(self, name: str, cfg: config.Group) -> int:
         """Give how many proxies share the connections of a group.
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -196,3 +196,13 @@
     row = core.GroupRow(2, 'b', frozenset({'a', 'b', 'gone'}))
     checking.tell(core.RowSeen(row))
     checking.tick(1.0)
+
+
+def test_who_is_not_registered_dates_no_position(checking):
+    """Another endpoint may lead without anybody waiting for this proxy."""
+    checking.tell(core.Registered(False))
+    checking.read(1, max_age=2.0, deadline=checking.now + 0.3)
+    for _ in range(20):
+        checking.tick()
+    assert reads(checking) == []
+    assert checking.answers[1].outcome is core.Outcome.NOT_RUN
--- a/tests/core/test_permission.py
+++ b/tests/core/test_permission.py
@@ -55,7 +55,7 @@
 
 def test_given_up_is_never_held_again():
     held = permission()
-    held.give_up(2)
+    held.give_up(2, 10.2)
     held.answered('a', 0, 10.0)
     held.answered('b', 0, 10.0)
     assert not held.held(10.0)
@@ -89,3 +89,19 @@
         fenced = member in fence and sent_at >= fenced_at
         held.answered(member, 2 if fenced else 1, sent_at)
     assert not held.held(fenced_at + _permission.PERMISSION_WAIT)
+
+
+def test_nobody_else_could_lead_only_until_it_is_given_up():
+    """What an old primary shows after that may lack acknowledged writes."""
+    held = permission()
+    held.answered('a', 0, 10.0)
+    held.answered('b', 0, 10.0)
+    assert held.covered_until() == 11.0
+    held.give_up(2, 10.3)
+    assert held.covered_until() == 10.3
+    held.give_up(2, 10.6)
+    assert held.covered_until() == 10.3
+    held.start_term(2, _permission.PermissionRules(frozenset(MEMBERS)))
+    held.answered('a', 2, 10.5)
+    held.answered('b', 2, 10.5)
+    assert held.covered_until() == 11.5
--- a/tests/sessions/test_groups.py
+++ b/tests/sessions/test_groups.py
@@ -48,3 +48,21 @@
     assert listed.leaving('g') == frozenset()
     listed.learn([leaving], 11.0)
     assert listed.leaving('g') == {'10.0.0.1:80'}
+
+
+def test_an_endpoint_is_gone_when_lists_have_lacked_it_for_long(listed):
+    listed.learn([LEADER, REPLICA], 10.0)
+    listed.learn([LEADER], 12.0)
+    assert listed.gone('g') == frozenset()
+    listed.learn([LEADER], 17.0)
+    assert listed.gone('g') == {'10.0.0.2:80'}
+    listed.learn([LEADER, REPLICA], 18.0)
+    assert listed.gone('g') == frozenset()
+
+
+def test_no_list_at_all_makes_nobody_gone(listed):
+    listed.learn([LEADER, REPLICA], 10.0)
+    listed.learn_members('g', ['10.0.0.9:80'])
+    assert listed.gone('g') == frozenset()
+    listed.learn([LEADER, REPLICA], 30.0)
+    assert listed.gone('g') == {'10.0.0.9:80'}
