--- /dev/null
+++ b/tests/platform/test_instances.py
@@ -0,0 +1,67 @@
+"""What instances say of themselves, decoded into reports."""
+
+import anyio
+import anyio.abc
+import pytest
+from tidegrade_platform import _duties
+from tidegrade_platform import _instances
+from tidegrade_platform import _settings
+
+from tidegrade import config
+from tidegrade import core
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@pytest.fixture
+async def asked():
+    """Give a function that asks STATUS of an instance with set answers."""
+
+    async def report(row: str, ready: str) -> core.EndpointReport:
+        async def serve(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                await stream.receive()
+                await stream.send(b'READY I 1.5\r\n')
+                await stream.receive()
+                text = f'ROW {row}\r\nDONE -\r\nREADY I {ready}\r\n'
+                await stream.send(text.encode())
+                await anyio.sleep(1)
+
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        duties = _duties.Duties(_settings.Address('127.0.0.1', 1), 'p')
+        instances = _instances.Instances('p', duties, lambda _: None)
+        endpoint = config.Endpoint('127.0.0.1', port, 'x')
+        group = config.Group(
+            endpoints={'a': endpoint}, initial_primary='a', database='svc'
+        )
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            conn = (await instances.connect(endpoint, group)).unwrap()
+            outcome = await conn.run(core.StatusJob())
+            await conn.close()
+            tasks.cancel_scope.cancel()
+        return outcome.report
+
+    return report
+
+
+async def test_a_position_of_a_former_term_is_none_of_the_new_one(asked):
+    """Found on days with a change of primary.
+
+    The new primary showed the last position of the term before it, which
+    counted as one of its own: no endpoint had it, and reads were refused
+    until the report was too old to be used.
+    """
+    found = await asked('primary 2 1.227 0 0 1 4', '1.227')
+    assert (found.marker, found.lsn, found.received_lsn) == (2, 0, 0)
+
+
+async def test_a_position_of_the_term_itself_counts(asked):
+    found = await asked('replica 2 2.9 0 12 1 4', '2.7')
+    assert (found.marker, found.lsn, found.received_lsn) == (2, 7, 9)
