Let fenced replicas serve reads on from the former term

Cause: when a term begins, all dated positions were forgotten, and the replicas stay fenced for 1.2 s and more, so that every read of the group went to the new primary's three slots meanwhile.

Ruled out: taking the fences back earlier (a proxy that registers during the change could then gain the former term's permission).

Change: the newest dated position of the ended term is kept. While it is younger than a read's allowed age, the read names it, or the session's own last commit in that term, and any replica that has it may answer. A session that has written in the new term asks for that; an endpoint that lacks the former position may have lost it, so it is asked for once. What reads need moved from _reads.py to _needs.py.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -307,6 +307,8 @@
         if state.row is not None and not is_newer(event.row, state.row):
             return
         former, state.row = state.row, event.row
+        if former is not None and event.row.term > former.term:
+            state.keep_former(former)
         if former is None or event.row.term > former.term:
             self._new_term(event.row, now)
 
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -6,6 +6,7 @@
 
 from tidegrade.core import _events
 from tidegrade.core import _jobs
+from tidegrade.core import _needs
 from tidegrade.core import _pending
 from tidegrade.core import _pool
 from tidegrade.core import _registry
@@ -15,7 +16,6 @@
 from tidegrade.core import _setup
 from tidegrade.core import _state
 from tidegrade.core import _types
-from tidegrade.core import _view
 
 #: Pause before a request looks again for a row it needs, in seconds.
 ROW_RETRY = 0.03
@@ -53,6 +53,7 @@
     ) -> None:
         self._state = state
         self._registry = registry
+        self._needs = _needs.Needs(state)
 
     def place(self, pending: _pending.Pending, now: float) -> Placement:
         """Try to hand a read to an endpoint."""
@@ -62,7 +63,7 @@
         floor = self._floor(row, pending)
         if floor.is_err():
             return self._floor_problem(pending, floor.unwrap_err(), now)
-        need = self._need(pending, floor.unwrap(), now)
+        need = self._needs.of(pending, floor.unwrap(), now)
         route = self._route(need, now)
         if isinstance(route, _routing.ToReplica):
             return self._send(pending, route.name, need, now)
@@ -131,49 +132,6 @@
         )
         return Placement.TAKEN
 
-    def _need(
-        self, pending: _pending.Pending, lsn: int, now: float
-    ) -> _routing.ReadNeed:
-        reached: float | None = now
-        if lsn:
-            reached = self._state.samples.reached_at(lsn)
-        if reached is None:
-            # Newer than every poll: it came with the request, at the latest.
-            reached = pending.arrived
-        max_age = pending.req.max_age
-        if self._checked and max_age:
-            dated = self._dated(pending.arrived - max_age)
-            if dated is None:
-                max_age = 0.0
-            else:
-                lsn = max(lsn, dated.lsn)
-                reached = min(reached, dated.at)
-                max_age = None
-        return _routing.ReadNeed(
-            lsn=lsn,
-            reached_at=reached,
-            max_age=max_age,
-            arrived=pending.arrived,
-            deadline=pending.req.deadline,
-            misses=pending.misses,
-            max_wait=pending.req.replica_wait,
-        )
-
-    def _dated(self, at: float) -> _view.Sample | None:
-        """Give a position that holds all that was acknowledged by ``at``.
-
-        The primary showed it when asked at ``at`` or later, and nobody
-        else could lead at that moment.
-        """
-        if not self._state.registered:
-            # Nobody waits for this proxy before another endpoint leads.
-            return None
-        sample = self._state.samples.since(at)
-        covered = self._state.permission.covered_until()
-        if sample is None or sample.at > covered:
-            return None
-        return sample
-
     def _route(self, need: _routing.ReadNeed, now: float) -> _routing.Route:
         if need.max_age == 0:
             return _routing.ToPrimary()
@@ -273,12 +231,8 @@
     ) -> _jobs.ReadJob | _jobs.StartJob:
         """Give the job of a read, or of a transaction that only reads."""
         req = pending.req
-        row = self._state.row
-        assert row is not None
-        after = None
-        pending.after = need.lsn
-        if self._checked and need.max_age is None:
-            after = _types.Position(row.marker, need.lsn)
+        after = need.after
+        pending.after = need.lsn if after is None else after.lsn
         setup = _setup.setup_for(conn, req, req.statements)
         if req.kind is _types.Kind.BEGIN:
             return _jobs.StartJob(
--- a/src/tidegrade/core/_routing.py
+++ b/src/tidegrade/core/_routing.py
@@ -6,6 +6,7 @@
 import attrs
 
 from tidegrade import config
+from tidegrade.core import _types
 
 #: Longest time a read waits for a replica to catch up, in seconds.
 MAX_REPLICA_WAIT = 0.3
@@ -23,7 +24,8 @@
 
     ``lsn`` must be applied; the primary reached it about at
     ``reached_at``. ``max_age`` bounds the staleness in seconds. A wait
-    for a replica may take ``max_wait`` seconds, if that is stated.
+    for a replica may take ``max_wait`` seconds, if that is stated. Where
+    endpoints check positions themselves, they are asked for ``after``.
     """
 
     lsn: int
@@ -33,6 +35,7 @@
     deadline: float
     misses: int = 0
     max_wait: float | None = None
+    after: _types.Position | None = None
 
 
 @attrs.frozen
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -68,6 +68,7 @@
     permission: _permission.Permission
     views: dict[str, _view.EndpointView]
     samples: _view.PositionSamples = attrs.field(factory=_view.PositionSamples)
+    former: _view.FormerPosition | None = None
     row: _row.GroupRow | None = None
     registered: bool = False
     term_since: float = float('-inf')
@@ -140,6 +141,16 @@
         if self.paused_at is not None and asked_at >= self.paused_at:
             self.paused_at = None
 
+    def keep_former(self, row: _row.GroupRow) -> None:
+        """Keep the newest dated position of a term that ends."""
+        last = self.samples.until(self.permission.covered_until())
+        if last is None:
+            return
+        if self.former is not None and self.former.at >= last.at:
+            return
+        position = _types.Position(row.term, last.lsn)
+        self.former = _view.FormerPosition(position, row.marker, last.at)
+
     def on_history(self, name: str) -> bool:
         """Tell whether an endpoint's last report is of the current term."""
         report = self.views[name].report
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -87,6 +87,19 @@
     lsn: int
 
 
+@attrs.frozen
+class FormerPosition:
+    """The last dated position of a term that has ended.
+
+    ``position`` bears the number of the proxies' own term, ``marker`` the
+    one that the endpoints count.
+    """
+
+    position: _types.Position
+    marker: int
+    at: float
+
+
 class PositionSamples:
     """The primary's positions over time, on this proxy's own clock.
 
@@ -128,6 +141,13 @@
             found = sample
         return found
 
+    def until(self, at: float) -> Sample | None:
+        """Give the newest sample taken at ``at`` or earlier."""
+        for sample in reversed(self._samples):
+            if sample.at <= at:
+                return sample
+        return None
+
     @property
     def newest(self) -> Sample | None:
         """Give the newest sample."""
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -206,3 +206,72 @@
         checking.tick()
     assert reads(checking) == []
     assert checking.answers[1].outcome is core.Outcome.NOT_RUN
+
+
+def test_fenced_replicas_serve_on_from_the_former_term(checking):
+    """Found on days with a change of primary, which served all reads."""
+    checking.reports['b'] = machines.report(3, marker=2, in_recovery=False)
+    row = core.GroupRow(2, 'b', frozenset(machines.NAMES))
+    checking.tell(core.RowSeen(row))
+    checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=2.0)
+    ((endpoint, job),) = reads(checking)
+    assert endpoint != 'b'
+    assert job.after == core.Position(1, 100)
+    assert checking.answers[1].outcome is core.Outcome.DONE
+
+
+def test_a_former_position_counts_only_while_it_is_young_enough(checking):
+    checking.new_term()
+    checking.tick(1.0)
+    checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=0.5)
+    assert [job.after for _, job in reads(checking)] == [core.Position(2, 200)]
+
+
+def test_what_a_session_wrote_in_the_new_term_is_asked_for(checking):
+    checking.new_term()
+    checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=2.0, floor=core.Position(2, 200))
+    (_, job) = reads(checking)[0]
+    assert job.after == core.Position(2, 200)
+
+
+def test_what_a_session_wrote_last_in_the_former_term_is_asked_for(checking):
+    checking.new_term()
+    checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=2.0, floor=core.Position(1, 101))
+    (_, job) = reads(checking)[0]
+    assert job.after == core.Position(1, 101)
+
+
+def test_a_former_position_that_a_replica_lacks_is_not_asked_again(checking):
+    checking.new_term()
+    checking.tick()
+    checking.jobs.clear()
+    checking.failures = {'a': BEHIND, 'c': BEHIND}
+    checking.read(1, max_age=2.0, replica_wait=0.01)
+    for _ in range(10):
+        checking.tick()
+    asked = [job.after for _, job in reads(checking)]
+    assert asked[0] == core.Position(1, 100)
+    assert all(after == core.Position(2, 200) for after in asked[1:])
+    assert checking.answers[1].endpoint == 'b'
+
+
+def test_a_former_position_ends_where_the_permission_was_given_up(checking):
+    """After that another may have led: what was shown then is no date."""
+    checking.tell(core.GiveUp(2))
+    checking.tick(1.0)
+    checking.reports['a'] = machines.report(500, in_recovery=False)
+    checking.tick()
+    checking.new_term()
+    checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=3.0)
+    (_, job) = reads(checking)[0]
+    assert job.after == core.Position(1, 100)
