--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CODE := src platform standins bench soak tests deploy
 export PYTHONPATH := src:platform:standins:bench:soak:tests
 
-.PHONY: test lint types demo up bench pages slopes soak format
+.PHONY: test lint types demo up bench pages slopes soak process-soak format
 
 test: lint types
 	$(BIN)/python -m pytest
@@ -32,6 +32,14 @@
 soak: $(STAMP)
 	$(BIN)/python -m tidegrade_bench soak --seconds $(SECONDS) --seed $(SEED)
 
+COUNT ?= 5
+FIRST ?= 0
+JOBS ?= 2
+
+process-soak: $(STAMP)
+	$(BIN)/python -m tidegrade_soak --count $(COUNT) --first $(FIRST) \
+		--jobs $(JOBS)
+
 ONLY ?=
 
 bench: $(STAMP)
