Give no position or age of a former term with a read's answer

Cause: an answer that a fenced replica gives from the former term bore that term's number under the new one. No session uses the position of a read here, and the age stands in a log line only.

Ruled out: converting it; positions of two terms can't be compared.

Change: both are left out.

--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -336,12 +336,16 @@
     ) -> None:
         row = self._state.row
         assert row is not None
-        seen = max(done.after_lsn, done.report.lsn)
-        age = self._age(conn, done, now)
+        position, age = None, float('inf')
+        if done.report.marker == row.marker:
+            # What is shown of a former term says nothing of this one.
+            seen = max(done.after_lsn, done.report.lsn)
+            position = _types.Position(row.term, seen)
+            age = self._age(conn, done, now)
         answer = _types.Answer(
             _types.Outcome.DONE,
             results=done.results,
-            position=_types.Position(row.term, seen),
+            position=position,
             endpoint=conn.endpoint,
             from_replica=conn.endpoint != row.primary,
             age=None if age == float('inf') else age,
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -220,6 +220,7 @@
     assert endpoint != 'b'
     assert job.after == core.Position(1, 100)
     assert checking.answers[1].outcome is core.Outcome.DONE
+    assert checking.answers[1].position is None
 
 
 def test_a_former_position_counts_only_while_it_is_young_enough(checking):
