Date no position before a term has a commit

A replica that had received nothing since 1.67 crashed with its primary's term, followed the new one, and took a read that named 2.0: it has that position before it has received the commits up to 1.88 that the former term left.

Ruled out: the reads from the former term (the log lines show position 0 of the new one).

Change: where positions restart, the first position of a later term dates nothing; only a commit of that term, which stands for all before it. Until there is one the primary answers, under permission.

The test fails without the change.

--- a/src/tidegrade/core/_reports.py
+++ b/src/tidegrade/core/_reports.py
@@ -30,7 +30,7 @@
     if not state.is_current(name, report):
         return
     if name == row.primary:
-        state.samples.add(sent_at, report.lsn)
+        state.note_position(sent_at, report.lsn)
     else:
         _measure_delay(state, name, report.lsn, sent_at)
 
--- a/src/tidegrade/core/_sharing.py
+++ b/src/tidegrade/core/_sharing.py
@@ -59,4 +59,4 @@
     for grant in heard.grants:
         state.permission.answered(grant.member, grant.promised, grant.at)
     if heard.position is not None:
-        state.samples.add(heard.position_at, heard.position)
+        state.note_position(heard.position_at, heard.position)
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -141,6 +141,18 @@
         if self.paused_at is not None and asked_at >= self.paused_at:
             self.paused_at = None
 
+    def note_position(self, at: float, lsn: int) -> None:
+        """Take in where the primary's log was when it was asked at ``at``.
+
+        Where positions restart, the first of a later term holds nothing:
+        an endpoint that follows has it before it has received what the
+        former terms left. Only a commit of the term stands for all that.
+        """
+        restarts = self.settings.traits.positions_restart
+        first_term = self.row is not None and self.row.marker <= 1
+        if lsn or first_term or not restarts:
+            self.samples.add(at, lsn)
+
     def keep_former(self, row: _row.GroupRow) -> None:
         """Keep the newest dated position of a term that ends."""
         last = self.samples.until(self.permission.covered_until())
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -276,3 +276,32 @@
     checking.read(1, max_age=3.0)
     (_, job) = reads(checking)[0]
     assert job.after == core.Position(1, 100)
+
+
+def test_a_term_without_a_commit_dates_no_position(checking):
+    """Found by hunts, STALE: a replica followed, but lacked former commits.
+
+    It stood at 1.67 of a log whose former term had ended at 1.88, and had
+    position 2.0 nevertheless.
+    """
+    for name in machines.NAMES:
+        checking.reports[name] = machines.report(
+            0, marker=2, promised=2, in_recovery=name != 'b'
+        )
+    row = core.GroupRow(2, 'b', frozenset(machines.NAMES))
+    checking.tell(core.RowSeen(row))
+    for _ in range(60):
+        checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=0.5)
+    checking.read(2, max_age=0.5)
+    assert {name for name, _ in reads(checking)} == {'b'}
+    checking.reports['b'] = machines.report(
+        1, marker=2, promised=2, in_recovery=False
+    )
+    for _ in range(60):
+        checking.tick()
+    checking.jobs.clear()
+    checking.read(3, max_age=0.5)
+    (_, job) = reads(checking)[0]
+    assert job.after == core.Position(2, 1)
