--- a/soak/tidegrade_soak/__main__.py
+++ b/soak/tidegrade_soak/__main__.py
@@ -12,6 +12,7 @@
 import typer
 
 from tidegrade_soak import _run
+from tidegrade_soak import _seeds
 
 app = typer.Typer(add_completion=False)
 
@@ -28,16 +29,22 @@
     jobs: typing.Annotated[
         int, typer.Option(help='Runs at the same time.')
     ] = 1,
+    regressions: typing.Annotated[
+        bool, typer.Option(help='Run the seeds that once failed.')
+    ] = False,
     keep: typing.Annotated[
         pathlib.Path, typer.Option(help='Folder for logs of failed seeds.')
     ] = pathlib.Path('target/soak'),
 ) -> None:
     """Run seeds; each prints a line, and failed ones keep their logs."""
     first = first or int(time.time())
-    tasks = [(seed, seconds, keep) for seed in range(first, first + count)]
+    seeds = [(seed, seconds) for seed in range(first, first + count)]
+    if regressions:
+        seeds = [(case.seed, case.seconds) for case in _seeds.REGRESSIONS]
+    tasks = [(seed, length, keep) for seed, length in seeds]
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         failed = sum(pool.map(_one, tasks))
-    print(json.dumps({'seeds': count, 'failed': failed}))
+    print(json.dumps({'seeds': len(tasks), 'failed': failed}))
     raise typer.Exit(1 if failed else 0)
 
 
--- a/soak/tidegrade_soak/_seeds.py
+++ b/soak/tidegrade_soak/_seeds.py
@@ -5,11 +5,16 @@
 
 @attrs.frozen
 class Regression:
-    """A seed that failed, how long its run was, and why it failed."""
+    """A seed that failed, how long its run was, and why it failed.
+
+    Those whose cause lay in the product run ``in_ci``; the others, whose
+    cause lay in the stand-in or in a check, are run by hand.
+    """
 
     seed: int
     seconds: float
     cause: str
+    in_ci: bool = False
 
 
 REGRESSIONS = (
@@ -17,6 +22,7 @@
         2,
         12.0,
         'SIGHUP ended a proxy that was importing its libraries',
+        in_ci=True,
     ),
     Regression(
         203,
@@ -24,4 +30,21 @@
         'of the stand-in: a slowed replica forgot what it had applied, and '
         'a connection stayed read-only after its transaction',
     ),
+    Regression(
+        210,
+        15.0,
+        'a proxy that had stood still replaced a healthy primary; its run '
+        "ended with the stand-in's fault of 203",
+        in_ci=True,
+    ),
+    Regression(214, 15.0, 'not traced by itself; gone with 203 and 215'),
+    Regression(
+        215,
+        15.0,
+        'a row that a paused proxy needed was asked for once only',
+        in_ci=True,
+    ),
+    Regression(221, 15.0, 'a close at rest that crossed was counted as a cut'),
+    Regression(222, 15.0, 'not traced by itself; gone with 221'),
+    Regression(224, 15.0, 'not traced by itself; gone with 203 and 215'),
 )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,7 +15,10 @@
     assert report.served > 0 and report.faults > 0
 
 
-@pytest.mark.parametrize('case', soak.REGRESSIONS, ids=lambda c: str(c.seed))
+IN_CI = [case for case in soak.REGRESSIONS if case.in_ci]
+
+
+@pytest.mark.parametrize('case', IN_CI, ids=lambda case: str(case.seed))
 def test_seeds_that_once_failed_keep_every_promise(case, tmp_path):
     report = soak.run(soak.SoakSettings(case.seed, case.seconds, tmp_path))
     assert report.problems == ()
