Split the peers' messages from their encoding

Ruled out: a module a message (they are small and read together).

Change: _messages.py holds the types, _message_codec.py their way to and from Cap'n Proto; nothing else changes.

--- a/bench/tidegrade_bench/_slopes.py
+++ b/bench/tidegrade_bench/_slopes.py
@@ -18,6 +18,7 @@
 from tidegrade import config
 from tidegrade import core
 from tidegrade.peers import _frames
+from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
 from tidegrade_bench import _deployment
 from tidegrade_bench import _fit
@@ -64,7 +65,7 @@
     sent, received, sizes = [], [], []
     for groups in GROUPS:
         message = heartbeat(groups)
-        raw = messages.encode(message)
+        raw = codec.encode(message)
         sizes.append(_fit.Point(groups, len(raw)))
         sealing = _frames.Direction(bytes(32))
         sealed = _frames.Direction(bytes(32)).seal(raw)
@@ -73,14 +74,14 @@
             message: messages.PeerMessage = message,
             sealing: _frames.Direction = sealing,
         ) -> bytes:
-            return sealing.seal(messages.encode(message))
+            return sealing.seal(codec.encode(message))
 
         cpu = least_cpu(send, 50)
         sent.append(_fit.Point(groups, cpu * 1e6))
 
         def receive(sealed: bytes = sealed) -> messages.PeerMessage:
             opening = _frames.Direction(bytes(32))
-            return messages.decode(opening.open(sealed))
+            return codec.decode(opening.open(sealed))
 
         cpu = least_cpu(receive, 50)
         received.append(_fit.Point(groups, cpu * 1e6))
--- a/src/tidegrade/net/__init__.py
+++ b/src/tidegrade/net/__init__.py
@@ -1,7 +1,7 @@
 """What sockets need beyond what a stream of the event loop offers."""
 
-from tidegrade.net._silence import CALLER_SILENCE
 from tidegrade.net._shutdown import shut_down
+from tidegrade.net._silence import CALLER_SILENCE
 from tidegrade.net._silence import SILENCE
 from tidegrade.net._silence import watch
 
--- a/src/tidegrade/peers/_links.py
+++ b/src/tidegrade/peers/_links.py
@@ -13,6 +13,7 @@
 from tidegrade import logs
 from tidegrade import net
 from tidegrade.peers import _frames
+from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
 
 #: Pause before a link is tried again, in seconds.
@@ -149,7 +150,7 @@
         with contextlib.suppress(*_GONE):
             while True:
                 message = await self._receive.receive()
-                await frames.send(messages.encode(message))
+                await frames.send(codec.encode(message))
         scope.cancel()
 
     def needs_probe(self, now: float) -> bool:
@@ -173,13 +174,13 @@
     async def _read(self, frames: _frames.FrameStream) -> None:
         try:
             while True:
-                message = messages.decode(await frames.receive())
+                message = codec.decode(await frames.receive())
                 self._unheard_since = None
                 question = self._waiting.get(message.number)
                 if question is not None:
                     question.answer = message.body
                     question.done.set()
-        except (_frames.NotAPeer, messages.Malformed) as exc:
+        except (_frames.NotAPeer, codec.Malformed) as exc:
             logs.write(
                 logs.LogEvent.PEER_REFUSED,
                 address=str(self._address),
@@ -238,7 +239,7 @@
         async with anyio.create_task_group() as tasks:
             try:
                 while True:
-                    message = messages.decode(await frames.receive())
+                    message = codec.decode(await frames.receive())
                     if isinstance(message.body, messages.Probe):
                         probed = messages.Probed()
                         await self._reply(frames, probed, message.number)
@@ -248,7 +249,7 @@
                         await self._handler(message.body)
             except _GONE:
                 pass
-            except (_frames.NotAPeer, messages.Malformed) as exc:
+            except (_frames.NotAPeer, codec.Malformed) as exc:
                 # Caught inside the task group, which would wrap it.
                 logs.write(logs.LogEvent.PEER_REFUSED, reason=str(exc))
             tasks.cancel_scope.cancel()
@@ -267,9 +268,7 @@
         number: int,
     ) -> None:
         with contextlib.suppress(*_GONE):
-            await frames.send(
-                messages.encode(messages.PeerMessage(body, number))
-            )
+            await frames.send(codec.encode(messages.PeerMessage(body, number)))
 
 
 class Links:
--- /dev/null
+++ b/src/tidegrade/peers/_message_codec.py
@@ -0,0 +1,305 @@
+"""Peer messages to and from Cap'n Proto."""
+
+import json
+import math
+import typing
+
+import capnp  # type: ignore[import-untyped]
+
+from tidegrade.codec import _results
+from tidegrade.codec import _structure
+from tidegrade import core
+from tidegrade.peers import _messages as messages
+from tidegrade.peers import _wire
+
+
+class Malformed(Exception):
+    """A peer's message can't be read."""
+
+
+def encode(message: messages.PeerMessage) -> bytes:
+    """Give a message's bytes."""
+    wire = _wire.PeerMessage.new_message(number=message.number)
+    _ENCODERS[type(message.body)](wire, message.body)
+    return wire.to_bytes_packed()
+
+
+def decode(raw: bytes) -> messages.PeerMessage:
+    """Read a message or raise :class:`Malformed`."""
+    try:
+        wire = _wire.read_peer_message(raw)
+        body = _DECODERS[str(wire.which())](wire)
+        return messages.PeerMessage(body, wire.number)
+    except (capnp.KjException, ValueError, KeyError, TypeError) as exc:
+        raise Malformed(str(exc)) from None
+
+
+# Encoders -----------------------------------------------------------------
+
+
+def _put_heartbeat(wire: typing.Any, body: messages.Heartbeat) -> None:
+    _fill_heartbeat(wire.init('heartbeat'), body)
+
+
+def _fill_heartbeat(beat: typing.Any, body: messages.Heartbeat) -> None:
+    beat.proxy = body.proxy
+    beat.domain = body.domain
+    beat.host = body.host
+    beat.port = body.port
+    beat.configVersion = body.config_version
+    beat.draining = body.draining
+    beat.passOn = body.pass_on
+    beat.blind = body.blind
+    opinions = beat.init('opinions', len(body.opinions))
+    for slot, opinion in zip(opinions, body.opinions, strict=True):
+        slot.site = opinion.key.site
+        slot.group = opinion.key.group
+        slot.term = opinion.term
+        slot.primaryDown = opinion.primary_down
+
+
+def _put_give_up(wire: typing.Any, body: messages.GiveUp) -> None:
+    bound = wire.init('giveUp')
+    bound.site = body.key.site
+    bound.group = body.key.group
+    bound.below = body.below
+
+
+def _put_gave_up(wire: typing.Any, body: messages.GaveUp) -> None:
+    bound = wire.init('gaveUp')
+    bound.site = body.key.site
+    bound.group = body.key.group
+    bound.below = body.below
+    bound.proxy = body.proxy
+
+
+def _put_row(wire: typing.Any, body: messages.RowNews) -> None:
+    news = wire.init('rowNews')
+    news.site = body.key.site
+    news.group = body.key.group
+    news.row = body.row
+
+
+def _put_ask_config(wire: typing.Any, body: messages.AskConfig) -> None:
+    asked = wire.init('askConfig')
+    asked.version = body.ref.version
+    asked.sha256 = body.ref.sha256
+
+
+def _put_config(wire: typing.Any, body: messages.ConfigContent) -> None:
+    content = wire.init('config')
+    content.version = body.ref.version
+    content.sha256 = body.ref.sha256
+    content.document = body.document
+
+
+def _put_forward(wire: typing.Any, body: messages.Forward) -> None:
+    forward = wire.init('forward')
+    forward.site = body.key.site
+    forward.group = body.key.group
+    forward.request = _json(body.request)
+
+
+def _put_forwarded(wire: typing.Any, body: messages.Forwarded) -> None:
+    wire.init('forwarded').answer = _json(body.answer)
+
+
+def _json(value: core.Request | core.Answer) -> bytes:
+    """Give a value as JSON; a time without bound is left out.
+
+    Callers' text may hold bytes that are not UTF-8, as surrogates, which
+    only the standard library's JSON passes on.
+    """
+    plain = _structure.unstructure(value)
+    bounded = {name: part for name, part in plain.items() if part != math.inf}
+    return json.dumps(bounded, default=_results.plain).encode()
+
+
+def _put_ask_evidence(wire: typing.Any, body: messages.AskEvidence) -> None:
+    keys = wire.init('askEvidence', len(body.keys))
+    for slot, key in zip(keys, body.keys, strict=True):
+        slot.site = key.site
+        slot.group = key.group
+
+
+def _put_evidence(wire: typing.Any, body: messages.EvidenceAnswer) -> None:
+    seen = wire.init('evidence', len(body.seen))
+    for slot, group in zip(seen, body.seen, strict=True):
+        found = group.evidence
+        slot.site = group.key.site
+        slot.group = group.key.group
+        slot.term = found.term
+        slot.position = -1
+        if found.position is not None:
+            slot.position = found.position
+            slot.positionAgeUs = _age_us(found.position_at)
+        grants = slot.init('grants', len(found.grants))
+        for part, grant in zip(grants, found.grants, strict=True):
+            part.member = grant.member
+            part.promised = grant.promised
+            part.ageUs = _age_us(grant.at)
+
+
+def _put_digest(wire: typing.Any, body: messages.Digest) -> None:
+    digest = wire.init('digest')
+    news = digest.init('news', len(body.news))
+    for slot, aged in zip(news, body.news, strict=True):
+        _fill_heartbeat(slot.init('beat'), aged.beat)
+        slot.ageMs = math.ceil(aged.age * 1000)
+    alive = digest.init('alive', len(body.alive))
+    for slot, entry in zip(alive, body.alive, strict=True):
+        slot.proxy = entry.proxy
+        slot.ageMs = math.ceil(entry.age * 1000)
+        slot.revision = entry.revision
+
+
+def _put_ask_endpoints(wire: typing.Any, body: messages.AskEndpoints) -> None:
+    wire.init('askEndpoints').version = body.version
+
+
+def _put_endpoints(wire: typing.Any, body: messages.EndpointNews) -> None:
+    listed = wire.init('endpoints')
+    listed.version = body.version
+    listed.entries = body.entries
+
+
+def _put_probe(wire: typing.Any, body: messages.Probe) -> None:
+    wire.probe = None
+
+
+def _put_probed(wire: typing.Any, body: messages.Probed) -> None:
+    wire.probed = None
+
+
+def _age_us(at: float) -> int:
+    """Give a negative age in seconds as microseconds, rounded up."""
+    return max(0, math.ceil(-at * 1e6))
+
+
+_ENCODERS: dict[type, typing.Callable[[typing.Any, typing.Any], None]] = {
+    messages.Heartbeat: _put_heartbeat,
+    messages.GiveUp: _put_give_up,
+    messages.GaveUp: _put_gave_up,
+    messages.RowNews: _put_row,
+    messages.AskConfig: _put_ask_config,
+    messages.ConfigContent: _put_config,
+    messages.Forward: _put_forward,
+    messages.Forwarded: _put_forwarded,
+    messages.AskEvidence: _put_ask_evidence,
+    messages.EvidenceAnswer: _put_evidence,
+    messages.Probe: _put_probe,
+    messages.Probed: _put_probed,
+    messages.Digest: _put_digest,
+    messages.AskEndpoints: _put_ask_endpoints,
+    messages.EndpointNews: _put_endpoints,
+}
+
+# Decoders -----------------------------------------------------------------
+
+
+def _key_of(part: typing.Any) -> messages.GroupKey:
+    return messages.GroupKey(part.site, part.group)
+
+
+def _get_digest(wire: typing.Any) -> messages.Digest:
+    digest = wire.digest
+    return messages.Digest(
+        news=tuple(
+            messages.AgedHeartbeat(_heartbeat_of(part.beat), part.ageMs / 1000)
+            for part in digest.news
+        ),
+        alive=tuple(
+            messages.AliveProxy(part.proxy, part.ageMs / 1000, part.revision)
+            for part in digest.alive
+        ),
+    )
+
+
+def _heartbeat_of(beat: typing.Any) -> messages.Heartbeat:
+    return messages.Heartbeat(
+        proxy=beat.proxy,
+        domain=beat.domain,
+        host=beat.host,
+        port=beat.port,
+        config_version=beat.configVersion,
+        draining=beat.draining,
+        pass_on=beat.passOn,
+        blind=beat.blind,
+        opinions=tuple(
+            messages.GroupOpinion(_key_of(o), o.term, o.primaryDown)
+            for o in beat.opinions
+        ),
+    )
+
+
+T = typing.TypeVar('T')
+
+
+def _from_json(raw: bytes, kind: type[T]) -> T:
+    read = _structure.structure_plain(json.loads(bytes(raw)), kind)
+    if read.is_err():
+        raise ValueError('; '.join(read.unwrap_err()))
+    return read.unwrap()
+
+
+def _get_forward(wire: typing.Any) -> messages.Forward:
+    request = _from_json(wire.forward.request, core.Request)
+    return messages.Forward(_key_of(wire.forward), request)
+
+
+def _get_forwarded(wire: typing.Any) -> messages.Forwarded:
+    return messages.Forwarded(_from_json(wire.forwarded.answer, core.Answer))
+
+
+def _get_evidence(wire: typing.Any) -> messages.EvidenceAnswer:
+    return messages.EvidenceAnswer(
+        tuple(
+            messages.GroupEvidence(_key_of(part), _evidence_of(part))
+            for part in wire.evidence
+        )
+    )
+
+
+def _evidence_of(part: typing.Any) -> core.Evidence:
+    grants = tuple(
+        core.MemberGrant(g.member, g.promised, -g.ageUs / 1e6)
+        for g in part.grants
+    )
+    if part.position < 0:
+        return core.Evidence(part.term, grants)
+    return core.Evidence(
+        part.term, grants, part.position, -part.positionAgeUs / 1e6
+    )
+
+
+def _ref_of(part: typing.Any) -> core.ConfigRef:
+    return core.ConfigRef(part.version, part.sha256)
+
+
+_DECODERS: dict[str, typing.Callable[[typing.Any], messages.PeerBody]] = {
+    'heartbeat': lambda w: _heartbeat_of(w.heartbeat),
+    'giveUp': lambda w: messages.GiveUp(_key_of(w.giveUp), w.giveUp.below),
+    'gaveUp': lambda w: messages.GaveUp(
+        _key_of(w.gaveUp), w.gaveUp.below, w.gaveUp.proxy
+    ),
+    'rowNews': lambda w: messages.RowNews(
+        _key_of(w.rowNews), bytes(w.rowNews.row)
+    ),
+    'askConfig': lambda w: messages.AskConfig(_ref_of(w.askConfig)),
+    'config': lambda w: messages.ConfigContent(
+        _ref_of(w.config), bytes(w.config.document)
+    ),
+    'forward': _get_forward,
+    'forwarded': _get_forwarded,
+    'askEvidence': lambda w: messages.AskEvidence(
+        tuple(_key_of(part) for part in w.askEvidence)
+    ),
+    'evidence': _get_evidence,
+    'probe': lambda w: messages.Probe(),
+    'probed': lambda w: messages.Probed(),
+    'digest': _get_digest,
+    'askEndpoints': lambda w: messages.AskEndpoints(w.askEndpoints.version),
+    'endpoints': lambda w: messages.EndpointNews(
+        w.endpoints.version, bytes(w.endpoints.entries)
+    ),
+}
--- a/tests/adapters/test_peer_messages.py
+++ b/tests/adapters/test_peer_messages.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tidegrade import core
+from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
 
 KEY = messages.GroupKey('platform', 'g1')
@@ -23,8 +24,8 @@
 @given(evidence)
 def test_evidence_is_never_made_younger(seen):
     answer = messages.EvidenceAnswer((messages.GroupEvidence(KEY, seen),))
-    raw = messages.encode(messages.PeerMessage(answer, 7))
-    back = messages.decode(raw)
+    raw = codec.encode(messages.PeerMessage(answer, 7))
+    back = codec.decode(raw)
     assert back.number == 7
     (group,) = back.body.seen
     assert group.key == KEY
@@ -39,15 +40,15 @@
 @given(st.binary(max_size=200))
 def test_any_bytes_are_a_message_or_malformed(raw):
     try:
-        messages.decode(raw)
-    except messages.Malformed:
+        codec.decode(raw)
+    except codec.Malformed:
         return
 
 
 def test_evidence_without_a_position_stays_without():
     seen = messages.GroupEvidence(KEY, core.Evidence(3))
     message = messages.PeerMessage(messages.EvidenceAnswer((seen,)))
-    (group,) = messages.decode(messages.encode(message)).body.seen
+    (group,) = codec.decode(codec.encode(message)).body.seen
     assert group.evidence.position is None
     assert group.evidence.position_at == pytest.approx(float('-inf'))
 
@@ -87,8 +88,8 @@
 @given(requests)
 def test_a_forwarded_request_comes_back_as_it_went(req):
     forward = messages.Forward(KEY, req)
-    raw = messages.encode(messages.PeerMessage(forward, 3))
-    assert messages.decode(raw).body == forward
+    raw = codec.encode(messages.PeerMessage(forward, 3))
+    assert codec.decode(raw).body == forward
 
 
 def test_a_forwarded_answer_comes_back_as_it_went():
@@ -101,5 +102,5 @@
         acknowledge_until=0.4,
         trace=core.Trace(2, 1, 0, 'e', 7, 0.4),
     )
-    raw = messages.encode(messages.PeerMessage(messages.Forwarded(answer)))
-    assert messages.decode(raw).body.answer == answer
+    raw = codec.encode(messages.PeerMessage(messages.Forwarded(answer)))
+    assert codec.decode(raw).body.answer == answer
--- a/tests/daemon/test_spread.py
+++ b/tests/daemon/test_spread.py
@@ -8,6 +8,7 @@
 from tidegrade.daemon import _roster
 from tidegrade.daemon import _spread
 from tidegrade.peers import _links
+from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 
@@ -96,9 +97,7 @@
             return False
         self.sent += 1
         self.crossed += here != there
-        body = messages.decode(
-            messages.encode(messages.PeerMessage(body))
-        ).body
+        body = codec.decode(codec.encode(messages.PeerMessage(body))).body
         if isinstance(body, messages.Digest):
             to.spread.heard_digest(body)
         else:
