--- a/standins/tidegrade_edge/_store.py
+++ b/standins/tidegrade_edge/_store.py
@@ -39,13 +39,15 @@
     ``refusing`` answers every call with 503. ``delay`` holds back each
     answer, in seconds. ``lose_writes`` is how many writes from now on are
     done and not answered. ``forgotten`` is the newest version of which no
-    feed knows any more.
+    feed knows any more. While ``deaf``, feeds hear of no change, and end
+    with the newest version nevertheless.
     """
 
     refusing: bool = False
     delay: float = 0.0
     lose_writes: int = 0
     forgotten: int = 0
+    deaf: bool = False
 
 
 class Store:
@@ -166,6 +168,7 @@
                     row
                     for row in self._history
                     if row.ver > after
+                    and not self.faults.deaf
                     and row.table == req.query_params['table']
                 ]
                 if not found:
--- a/tests/edge/test_edge_silence.py
+++ b/tests/edge/test_edge_silence.py
@@ -86,3 +86,18 @@
         return await refused(relayed, 1)
 
     await until(refused_there, SOON)
+
+
+async def test_a_change_that_feeds_did_not_hear_of_is_found(site, until):
+    """Found by a hunt, CONFIG: a feed that had ended went on after it."""
+    site.store.faults.deaf = True
+    site.configure(routes=[])
+    # Longer than a feed waits; each ends without the change.
+    await anyio.sleep(6.0)
+    site.store.faults.deaf = False
+
+    async def refused_everywhere() -> bool:
+        numbers = range(len(site.proxies))
+        return all([await refused(site, number) for number in numbers])
+
+    await until(refused_everywhere, SOON)
