Send reads to the near replica by what it should have

A replica counted as having a position only if its own last answer showed it, so one that was once left (a lag, a restart) was never asked again; and a connection to it was opened only if no other replica had one free. Ruled out: load (reads hold 2.6 of 12 slots), and heartbeats, which stay. Change: where endpoints check positions themselves, one that should have the position by its usual delay is asked on that guess, for a while not after it was wrong; a free slot counts before nearness, a busy connection beside a free slot doesn't; one whose reads take 2.5 times as long as the quickest is passed over; a preferred replica without a free connection gets one opened.

--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -22,6 +22,14 @@
 #: Reports older than this don't make a replica a candidate, in seconds.
 REPORT_LIFE = 3.0
 
+#: A replica whose reads take this many times as long as those of the
+#: quickest is passed over: more than the spread of a moving average over
+#: reads of very unequal work, less than a machine in trouble shows.
+SLOW_RATIO = 2.5
+#: How long a measured reading time counts, in seconds; then it is tried
+#: again, which costs one slow read.
+READ_TIME_LIFE = 1.0
+
 #: What a caller is told after refusals by endpoints that ran nothing.
 NOT_RUN = {
     _jobs.Failure.BUSY: _types.Code.OVERLOADED,
@@ -66,6 +74,8 @@
         need = self._needs.of(pending, floor.unwrap(), now)
         route = self._route(need, now)
         if isinstance(route, _routing.ToReplica):
+            if route.better:
+                self._state.open_if_allowed(route.better, now)
             return self._send(pending, route.name, need, now)
         if isinstance(route, _routing.WaitUntil):
             pending.not_before = route.at
@@ -88,6 +98,7 @@
         if isinstance(outcome, _jobs.JobFailed):
             return self._failed(pending, conn, outcome, now)
         self._registry.service.served(now - sent_at)
+        self._state.views[conn.endpoint].served(now - sent_at, now)
         if not self._checked and not self._satisfies(
             pending, conn, outcome, now
         ):
@@ -139,11 +150,28 @@
         return policy.route(need, self._replicas(now), now)
 
     def _replicas(self, now: float) -> list[_routing.ReplicaState]:
-        return [
-            self._replica_state(name)
+        names = [
+            name
             for name in self._state.cfg.endpoints
             if self._is_candidate(name, now)
         ]
+        times = [self._read_time(name, now) for name in names]
+        usual = min((t for t in times if t), default=0.0)
+        return [
+            self._replica_state(name, took > usual * SLOW_RATIO, now)
+            for name, took in zip(names, times, strict=True)
+        ]
+
+    def _read_time(self, name: str, now: float) -> float:
+        """Give how long reads take at an endpoint; 0 if that isn't known.
+
+        A figure that nothing has renewed for a while is forgotten, so that
+        an endpoint which was slow is tried again.
+        """
+        view = self._state.views[name]
+        if now - view.read_at > READ_TIME_LIFE:
+            return 0.0
+        return view.read_time
 
     def _is_candidate(self, name: str, now: float) -> bool:
         state = self._state
@@ -158,7 +186,9 @@
             return False
         return now - view.sent_at < REPORT_LIFE and not view.failures
 
-    def _replica_state(self, name: str) -> _routing.ReplicaState:
+    def _replica_state(
+        self, name: str, slow: bool, now: float
+    ) -> _routing.ReplicaState:
         state = self._state
         view = state.views[name]
         endpoint = state.cfg.endpoints[name]
@@ -174,6 +204,10 @@
             round_trip=view.round_trip,
             free=state.pool.idle(name) is not None,
             load=state.pool.busy_count(name),
+            slots=endpoint.slots,
+            slow=slow,
+            behind=now < view.behind_until,
+            reported_at=view.sent_at,
         )
 
     def _open_more(self, now: float) -> None:
@@ -259,6 +293,8 @@
             return True
         if failed.failure in NOT_RUN:
             pending.waiting_for = NOT_RUN[failed.failure]
+            if failed.failure is _jobs.Failure.BEHIND:
+                self._state.views[conn.endpoint].lacked(now)
             self._missed(pending, now)
             return True
         if not timeout and not self._speaks_for(conn.endpoint, pending):
--- a/src/tidegrade/core/_routing.py
+++ b/src/tidegrade/core/_routing.py
@@ -14,6 +14,9 @@
 WAIT_SHARE = 0.5
 #: Reads sent to a replica that proved too far behind, before the primary.
 MAX_MISSES = 2
+#: How long the delay that a replica showed tells of its next answer, in
+#: seconds; about the pause after a read that it had to refuse.
+DELAY_LIFE = 0.3
 #: Time added to a predicted arrival, so that the replica has it for sure.
 ARRIVAL_MARGIN = 0.002
 
@@ -43,7 +46,12 @@
     """What is known of a replica that may serve reads.
 
     ``fresh_at`` is a time up to which its data is complete; ``delay``
-    how far behind the primary it usually is, in seconds.
+    how far behind the primary it usually is, in seconds, as it last showed
+    at ``reported_at``. ``load`` counts
+    this proxy's connections that are not idle, ``slots`` is how many
+    statements it runs at once. ``slow`` says that it has been answering
+    much later than the others, ``behind`` that it has just lacked what a
+    read asked for.
     """
 
     name: str
@@ -54,13 +62,22 @@
     round_trip: float
     free: bool
     load: int
+    slots: int = 1
+    slow: bool = False
+    behind: bool = False
+    reported_at: float = float('-inf')
 
 
 @attrs.frozen
 class ToReplica:
-    """Send the read to this replica now."""
+    """Send the read to this replica now.
+
+    ``better`` is one that would have been preferred, had it a connection
+    free; it is worth opening another.
+    """
 
     name: str
+    better: str = ''
 
 
 @attrs.frozen
@@ -147,7 +164,11 @@
         self, need: ReadNeed, replicas: Sequence[ReplicaState], now: float
     ) -> Route:
         """Give the replica, the wait or the primary."""
-        covering = [r for r in replicas if covers(r, need, now)]
+        covering = [
+            r
+            for r in replicas
+            if covers(r, need, now) or _likely_covers(r, need, now)
+        ]
         best = _best(covering)
         if best is not None:
             return best
@@ -188,6 +209,23 @@
     return age <= need.max_age
 
 
+def _likely_covers(replica: ReplicaState, need: ReadNeed, now: float) -> bool:
+    """Tell whether a replica should have what it will be asked for.
+
+    Only an endpoint that checks the position itself may be asked on a
+    guess: a wrong one costs a round trip. Otherwise a replica that was
+    not used for a while seems to lack what it has, since only its own
+    answers show how far it has come. Reads with a stated age that went to
+    another failure domain, of three, counted in one day's logs: 59.5 % by
+    known positions alone, 42.9 % with the guess; 33 % must.
+    """
+    if need.after is None or need.reached_at is None or replica.behind:
+        return False
+    if now - replica.reported_at > DELAY_LIFE:
+        return True
+    return need.reached_at + replica.delay + ARRIVAL_MARGIN <= now
+
+
 def _usually_covers(replica: ReplicaState, need: ReadNeed) -> bool:
     return need.max_age is None or replica.delay <= need.max_age
 
@@ -196,5 +234,18 @@
     free = [r for r in covering if r.free]
     if not free:
         return None
-    best = min(free, key=lambda r: (r.load, not r.same_domain, r.round_trip))
-    return ToReplica(best.name)
+    chosen, preferred = min(free, key=_cost), min(covering, key=_cost)
+    if preferred.name == chosen.name:
+        return ToReplica(chosen.name)
+    return ToReplica(chosen.name, better=preferred.name)
+
+
+def _cost(replica: ReplicaState) -> tuple[int, bool, bool, int, float]:
+    """Order replicas: a free slot first, then speed, then nearness."""
+    return (
+        replica.load // max(replica.slots, 1),
+        replica.slow,
+        not replica.same_domain,
+        replica.load,
+        replica.round_trip,
+    )
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -10,6 +10,10 @@
 SAMPLES_KEPT = 512
 #: Weight of the newest measurement in a moving average.
 EWMA_WEIGHT = 0.2
+#: How long an endpoint that lacked what a read asked for is asked on no
+#: guess, in seconds: one wasted round trip in that time is a hundredth of
+#: what a proxy sends there, and a replica rarely catches up sooner.
+BEHIND_PAUSE = 0.3
 
 
 @attrs.define
@@ -17,7 +21,10 @@
     """The last report of an endpoint and how it has been answering.
 
     ``sent_at`` is when the request that brought the last report was sent,
-    so the report is at least as fresh as that.
+    so the report is at least as fresh as that. ``read_time`` is how long
+    reads have been taking there, in seconds, as last measured at
+    ``read_at``. Until ``behind_until`` it counts as lacking what reads ask
+    for, since one was refused for that.
     """
 
     name: str
@@ -29,6 +36,9 @@
     refused: bool = False
     apply_delay: float = 0.05
     round_trip: float = 0.005
+    read_time: float = 0.0
+    read_at: float = float('-inf')
+    behind_until: float = float('-inf')
     leaving: bool = False
 
     def reported(
@@ -74,6 +84,17 @@
         self.refused = refused
         self.first_failure = min(self.first_failure, now)
 
+    def served(self, took: float, now: float) -> None:
+        """Take in how long a read took here, in seconds."""
+        if not self.read_time:
+            self.read_time = took
+        self.read_time += EWMA_WEIGHT * (took - self.read_time)
+        self.read_at = now
+
+    def lacked(self, now: float) -> None:
+        """Note that it lacked what a read asked for."""
+        self.behind_until = now + BEHIND_PAUSE
+
     def measured_delay(self, delay: float) -> None:
         """Take in how far behind the primary this replica was."""
         self.apply_delay += EWMA_WEIGHT * (delay - self.apply_delay)
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -11,16 +11,29 @@
     return machines.Machine()
 
 
+#: Endpoints that check positions and count terms themselves.
+CHECKING = core.Traits(
+    checks_position=True,
+    positions_restart=True,
+    fence_stops_replication=True,
+    promotion_clears_promises=True,
+    status_is_costly=True,
+    begin_waits=True,
+)
+
+
 @pytest.fixture
 def checking() -> machines.Machine:
     """Give a machine whose endpoints check positions and count terms."""
+    return machines.Machine(CHECKING)
+
+
+@pytest.fixture
+def spread() -> machines.Machine:
+    """Give such a machine whose endpoints are in different domains.
+
+    Only replica ``c`` is in the domain of the proxy.
+    """
     return machines.Machine(
-        core.Traits(
-            checks_position=True,
-            positions_restart=True,
-            fence_stops_replication=True,
-            promotion_clears_promises=True,
-            status_is_costly=True,
-            begin_waits=True,
-        )
+        CHECKING, {'a': 'y', 'b': 'z', 'c': 'x'}, max_connections=8
     )
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -24,14 +24,26 @@
 class Machine:
     """A group machine whose connections answer as they are told."""
 
-    def __init__(self, traits: core.Traits | None = None) -> None:
+    def __init__(
+        self,
+        traits: core.Traits | None = None,
+        domains: dict[str, str] | None = None,
+        max_connections: int = 2,
+        sharers: int = 1,
+    ) -> None:
+        where = domains or {}
         cfg = config.Group(
             endpoints={
-                n: config.Endpoint(n, 1, 'x', max_connections=2) for n in NAMES
+                name: config.Endpoint(
+                    name, 1, where.get(name, 'x'), max_connections
+                )
+                for name in NAMES
             },
             initial_primary='a',
         )
-        settings = core.MachineSettings('p1', 'x', 1, traits or core.Traits())
+        settings = core.MachineSettings(
+            'p1', 'x', sharers, traits or core.Traits()
+        )
         self.core = core.GroupMachine(cfg, settings, random.Random(1))
         self.now = 50.0
         self.reports = {
