Keep half of an endpoint's connections free for returns

Cause: after a loss of power of all VMs an endpoint counts the connections of the dead for three seconds more. Change: a share has a usual number and a most. Above the usual one a connection is opened only for a request that has waited as long as a statement takes, not in a proxy's first three seconds, and given back after a second of rest. Orders of a change of primary get one at once.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -22,6 +22,7 @@
 from tidegrade.core import _reports
 from tidegrade.core import _retry
 from tidegrade.core import _row
+from tidegrade.core import _shares
 from tidegrade.core import _sharing
 from tidegrade.core import _state
 from tidegrade.core import _txns
@@ -150,6 +151,7 @@
     ) -> list[_events.Command]:
         """Take one event at ``now`` and give the commands to carry out."""
         self._state.now = now
+        self._state.began_at = min(self._state.began_at, now)
         self._handlers[type(event)](event, now)
         for pending in self._confirmations.take_confirmed():
             self._retry_if(self._writes.acknowledge(pending, now), pending)
@@ -347,14 +349,13 @@
     ) -> None:
         state = self._state
         state.cfg = event.cfg
-        shares = _state.shares_of(event.cfg, event.max_proxies)
+        shares = _shares.shares_of(event.cfg, event.max_proxies)
         state.pool.set_shares(shares)
         for name in event.cfg.endpoints:
             state.views.setdefault(name, _view.EndpointView(name))
         for conn in state.pool:
-            over = len(state.pool.of(conn.endpoint)) > state.pool.share(
-                conn.endpoint
-            )
+            most = state.pool.share(conn.endpoint).most
+            over = len(state.pool.of(conn.endpoint)) > most
             if over and conn.state is _pool.ConnState.IDLE:
                 state.close(conn)
 
@@ -432,7 +433,11 @@
                 continue
             conn = self._state.pool.idle(control.endpoint)
             if conn is None:
-                self._state.open_if_allowed(control.endpoint, now)
+                # A change of the primary waits for this: nothing is worth
+                # a connection more.
+                self._state.open_if_allowed(
+                    control.endpoint, now, pressed=True
+                )
                 continue
             self._controls.remove(control)
             self._state.run(conn, control.job, control, control.deadline, now)
@@ -443,6 +448,7 @@
         self._close_overdue_conns(now)
         self._txns.expire(now)
         self._refuse_overdue(now)
+        self._give_back_conns(now)
         self._polls.poll_due(now)
 
     def _close_overdue_conns(self, now: float) -> None:
@@ -455,6 +461,10 @@
                 late = _jobs.JobFailed(_jobs.Failure.TIMEOUT)
                 self._job_over(conn, late, now)
 
+    def _give_back_conns(self, now: float) -> None:
+        for conn in self._state.pool.spare(now):
+            self._state.close(conn)
+
     def _refuse_overdue(self, now: float) -> None:
         for pending in self._registry.overdue(now):
             if pending.sent_to:
--- a/src/tidegrade/core/_pool.py
+++ b/src/tidegrade/core/_pool.py
@@ -6,6 +6,7 @@
 import attrs
 
 from tidegrade.core import _jobs
+from tidegrade.core import _shares
 from tidegrade.core import _types
 
 #: Bounds of the pause after failed attempts to connect, in seconds.
@@ -52,10 +53,15 @@
     not_before: float = float('-inf')
 
 
+_NOTHING = _shares.Share()
+
+
 class Pool:
     """Connections by endpoint; never more than the proxy's share."""
 
-    def __init__(self, shares: dict[str, int], rng: random.Random) -> None:
+    def __init__(
+        self, shares: dict[str, _shares.Share], rng: random.Random
+    ) -> None:
         self._shares = dict(shares)
         self._rng = rng
         self._conns: dict[int, Conn] = {}
@@ -74,11 +80,11 @@
         """Give the connections to an endpoint, closing ones included."""
         return list(self._by_endpoint.get(endpoint, ()))
 
-    def share(self, endpoint: str) -> int:
+    def share(self, endpoint: str) -> _shares.Share:
         """Give how many connections to an endpoint are allowed."""
-        return self._shares.get(endpoint, 0)
+        return self._shares.get(endpoint, _NOTHING)
 
-    def set_shares(self, shares: dict[str, int]) -> None:
+    def set_shares(self, shares: dict[str, _shares.Share]) -> None:
         """Change the shares; the caller closes what is over."""
         self._shares = dict(shares)
 
@@ -100,13 +106,33 @@
         conns = self._by_endpoint.get(endpoint, ())
         return any(conn.state in busy for conn in conns)
 
-    def may_open(self, endpoint: str, now: float) -> bool:
-        """Tell whether the share and the pause allow another attempt."""
+    def spare(self, now: float) -> list[Conn]:
+        """Give connections above the usual number that have rested.
+
+        The newest are given back: work goes to the oldest that is idle.
+        """
+        found = []
+        for endpoint, conns in self._by_endpoint.items():
+            over = len(conns) - self.share(endpoint).usual
+            for conn in reversed(conns):
+                rested = now - conn.sent_at >= _shares.SPARE_REST
+                if over > 0 and rested and conn.state is ConnState.IDLE:
+                    found.append(conn)
+                    over -= 1
+        return found
+
+    def may_open(
+        self, endpoint: str, now: float, pressed: bool = False
+    ) -> bool:
+        """Tell whether the share and the pause allow another attempt.
+
+        ``pressed`` says that requests have waited for one.
+        """
         held = len(self._by_endpoint.get(endpoint, ()))
         gate = self._gates.get(endpoint)
         if gate is not None and now < gate.not_before:
             return False
-        return held < self.share(endpoint)
+        return self.share(endpoint).allows(held, pressed)
 
     def opening(self, endpoint: str) -> bool:
         """Tell whether an attempt to connect is under way."""
@@ -121,7 +147,7 @@
         held = self._by_endpoint.setdefault(endpoint, [])
         held.append(conn)
         _types.invariant(
-            len(held) <= self.share(endpoint),
+            len(held) <= self.share(endpoint).most,
             'more connections than the share',
         )
         return conn
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -81,7 +81,7 @@
             pending.not_before = route.at
             return Placement.PARKED
         if isinstance(route, _routing.WaitForFree):
-            self._open_more(now)
+            self._open_more(pending, now)
             return Placement.BLOCKED
         return self._to_primary(pending, row, need, now)
 
@@ -210,11 +210,12 @@
             reported_at=view.sent_at,
         )
 
-    def _open_more(self, now: float) -> None:
+    def _open_more(self, pending: _pending.Pending, now: float) -> None:
+        pressed = self._registry.is_pressed(pending, now)
         for replica in self._replicas(now):
             if self._state.pool.opening(replica.name):
                 continue
-            if self._state.pool.may_open(replica.name, now):
+            if self._state.pool.may_open(replica.name, now, pressed):
                 self._state.open(replica.name, now)
 
     def _to_primary(
@@ -236,7 +237,8 @@
         if conn is None:
             if self._state.pool.in_use(row.primary):
                 pending.waiting_for = _types.Code.OVERLOADED
-            self._state.open_if_allowed(row.primary, now)
+            pressed = self._registry.is_pressed(pending, now)
+            self._state.open_if_allowed(row.primary, now, pressed)
             return Placement.PRIMARY
         return self._send(pending, row.primary, need, now)
 
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -5,6 +5,7 @@
 from tidegrade.core import _events
 from tidegrade.core import _pending
 from tidegrade.core import _queue
+from tidegrade.core import _shares
 from tidegrade.core import _state
 from tidegrade.core import _types
 
@@ -124,7 +125,15 @@
             return NO_PRIMARY_RETRY
         return self.service.retry_after(ahead, self.width())
 
+    def is_pressed(self, pending: _pending.Pending, now: float) -> bool:
+        """Tell whether a request has waited long enough for more width."""
+        return _shares.is_pressed(
+            waited=now - pending.arrived,
+            service=self.service.mean,
+            age=now - self._state.began_at,
+        )
+
     def width(self) -> int:
         """Give the number of connections that serve this group."""
         names = self._state.cfg.endpoints
-        return sum(self._state.pool.share(name) for name in names)
+        return sum(self._state.pool.share(name).most for name in names)
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -10,6 +10,7 @@
 from tidegrade.core import _permission
 from tidegrade.core import _pool
 from tidegrade.core import _row
+from tidegrade.core import _shares
 from tidegrade.core import _traits
 from tidegrade.core import _types
 from tidegrade.core import _view
@@ -41,22 +42,6 @@
     traits: _traits.Traits = _traits.POSTGRESQL
 
 
-def shares_of(cfg: config.Group, max_proxies: int) -> dict[str, int]:
-    """Give this proxy's part of each endpoint's connections.
-
-    Each gets one at least: with more proxies than connections an endpoint
-    turns some away, which is better than that nobody may ask it. A proxy
-    that is not among those that share, as ``max_proxies`` of 0 tells, has
-    none.
-    """
-    if not max_proxies:
-        return dict.fromkeys(cfg.endpoints, 0)
-    return {
-        name: max(1, endpoint.max_connections // max_proxies)
-        for name, endpoint in cfg.endpoints.items()
-    }
-
-
 @attrs.define
 class GroupState:
     """What a proxy knows of a group, and the commands it has decided."""
@@ -75,6 +60,7 @@
     paused_at: float | None = None
     polls_for_peers: bool = True
     draining: bool = False
+    began_at: float = float('inf')
     now: float = 0.0
     leaving_since: dict[str, float] = attrs.field(factory=dict)
     commands: list[_events.Command] = attrs.field(factory=list)
@@ -91,7 +77,9 @@
             cfg=cfg,
             settings=settings,
             rng=rng,
-            pool=_pool.Pool(shares_of(cfg, settings.max_proxies), rng),
+            pool=_pool.Pool(
+                _shares.shares_of(cfg, settings.max_proxies), rng
+            ),
             permission=_permission.Permission(),
             views={n: _view.EndpointView(n) for n in cfg.endpoints},
         )
@@ -194,8 +182,11 @@
         leaving = self.leaving_since.get(name)
         return leaving is None or now < leaving + LEAVING_GRACE
 
-    def open_if_allowed(self, name: str, now: float) -> None:
+    def open_if_allowed(
+        self, name: str, now: float, pressed: bool = False
+    ) -> None:
         """Order a connection unless one is coming or none may be had."""
-        if self.pool.opening(name) or not self.pool.may_open(name, now):
+        if self.pool.opening(name):
             return
-        self.open(name, now)
+        if self.pool.may_open(name, now, pressed):
+            self.open(name, now)
--- a/src/tidegrade/core/_writes.py
+++ b/src/tidegrade/core/_writes.py
@@ -72,7 +72,8 @@
         if conn is None:
             if state.pool.in_use(state.row.primary):
                 pending.waiting_for = _types.Code.OVERLOADED
-            state.open_if_allowed(state.row.primary, now)
+            pressed = self._registry.is_pressed(pending, now)
+            state.open_if_allowed(state.row.primary, now, pressed)
             return None
         pending.sent_to = pending.last_sent_to = state.row.primary
         pending.tries += 1
--- a/tests/proofs/test_forgetful.py
+++ b/tests/proofs/test_forgetful.py
@@ -46,6 +46,19 @@
     assert 'acknowledged after' in breaks(range(300, 304))
 
 
-def test_without_waiting_for_silent_holders(monkeypatch):
+#: A permission that outlasts every change of the primary, in seconds.
+LONG = 3.0
+
+
+def test_a_long_permission_is_waited_out(monkeypatch):
+    monkeypatch.setattr(_permission, 'PERMISSION_LENGTH', LONG)
+    monkeypatch.setattr(_permission, 'PERMISSION_WAIT', LONG * 1.11)
+    assert not breaks(range(300, 304))
+
+
+@pytest.mark.parametrize('seed', range(300, 304))
+def test_without_waiting_for_silent_holders(monkeypatch, seed):
+    """The guard matters in each run, not just where a race shows it."""
+    monkeypatch.setattr(_permission, 'PERMISSION_LENGTH', LONG)
     monkeypatch.setattr(_permission, 'PERMISSION_WAIT', 0.0)
-    assert 'acknowledged after' in breaks(range(300, 304))
+    assert 'acknowledged after' in breaks(range(seed, seed + 1))
