Refuse at once what the permission comes too late for

Ruled out: a shorter fixed limit, which would also refuse what a change that is about to end could serve. Change: an outlook judges when the permission will be held again: as long again as it has been lacking, or by the usual length of a change of primary while one is under way, learned from those seen; a request whose limit is earlier is refused on arrival, never one that may have run. A term that has begun or a process that runs again starts the judgement anew: without that the requests held for a new term were refused the moment it began (found by the test). The time to come back is that expectation, spread over half of it for urgent callers and the other half for the rest. To near endpoints one connection more is kept, for fewer bytes between domains.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -17,6 +17,7 @@
 from tidegrade.core._events import ConnOpened
 from tidegrade.core._events import ControlAsked
 from tidegrade.core._events import ControlEnded
+from tidegrade.core._events import CutOff
 from tidegrade.core._events import DrainStarted
 from tidegrade.core._events import Event
 from tidegrade.core._events import EvidenceHeard
@@ -113,6 +114,7 @@
     'ConnOpened',
     'ControlAsked',
     'ControlEnded',
+    'CutOff',
     'DrainStarted',
     'EndpointReport',
     'Event',
--- a/src/tidegrade/core/_events.py
+++ b/src/tidegrade/core/_events.py
@@ -134,6 +134,13 @@
     endpoint: str
 
 
+@attrs.frozen
+class CutOff:
+    """This failure domain hears no other, or does again."""
+
+    cut_off: bool
+
+
 @attrs.frozen
 class DrainStarted:
     """No new work is taken from here on."""
@@ -160,6 +167,7 @@
     | Paused
     | PollsForPeers
     | Suspected
+    | CutOff
     | DrainStarted
     | Tick
 )
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -76,6 +76,7 @@
             _events.RowSeen: self._row_seen,
             _events.ConfigChanged: self._config_changed,
             _events.GiveUp: self._give_up,
+            _events.CutOff: self._cut_off,
             _events.Registered: self._registered,
             _events.ControlAsked: self._control_asked,
             _events.LeavingChanged: self._leaving_changed,
@@ -151,7 +152,6 @@
     ) -> list[_events.Command]:
         """Take one event at ``now`` and give the commands to carry out."""
         self._state.now = now
-        self._state.began_at = min(self._state.began_at, now)
         self._handlers[type(event)](event, now)
         for pending in self._confirmations.take_confirmed():
             self._retry_if(self._writes.acknowledge(pending, now), pending)
@@ -159,6 +159,7 @@
             self._polls.poll_due(now)
         self._run_controls(now)
         self._dispatcher.dispatch(now)
+        self._refuse_without_prospect(now)
         commands = self._state.commands
         self._state.commands = []
         return commands
@@ -309,6 +310,10 @@
         if state.row is not None and not is_newer(event.row, state.row):
             return
         former, state.row = state.row, event.row
+        if event.row.attempt is None:
+            state.outlook.change_over(now)
+        else:
+            state.outlook.change_seen(now)
         if former is not None and event.row.term > former.term:
             state.keep_former(former)
         if former is None or event.row.term > former.term:
@@ -317,6 +322,7 @@
     def _new_term(self, row: _row.GroupRow, now: float) -> None:
         rules = _permission.PermissionRules(row.members)
         self._state.term_since = now
+        self._state.outlook.improved(now)
         self._state.permission.start_term(row.term, rules)
         self._state.samples.clear()
         self._leave_others(row.primary, now)
@@ -349,7 +355,9 @@
     ) -> None:
         state = self._state
         state.cfg = event.cfg
-        shares = _shares.shares_of(event.cfg, event.max_proxies)
+        shares = _shares.shares_of(
+            event.cfg, event.max_proxies, state.settings.domain
+        )
         state.pool.set_shares(shares)
         for name in event.cfg.endpoints:
             state.views.setdefault(name, _view.EndpointView(name))
@@ -385,6 +393,7 @@
 
     def _paused(self, event: _events.Paused, now: float) -> None:
         self._excuse(now)
+        self._state.outlook.improved(now)
         if event.seconds > _state.LONGEST_PAUSE:
             self._state.paused_at = now
             self._state.order(_events.FetchRow())
@@ -412,6 +421,10 @@
         if event.endpoint in self._state.views:
             self._polls.suspect(event.endpoint, now)
 
+    def _cut_off(self, event: _events.CutOff, now: float) -> None:
+        self._state.outlook.cut_off = event.cut_off
+        self._state.outlook.improved(now)
+
     def _drain_started(self, event: _events.DrainStarted, now: float) -> None:
         self._state.draining = True
 
@@ -465,6 +478,14 @@
         for conn in self._state.pool.spare(now):
             self._state.close(conn)
 
+    def _refuse_without_prospect(self, now: float) -> None:
+        state = self._state
+        state.outlook.observe(state.may_acknowledge(now), now)
+        for pending in self._registry.without_prospect(now):
+            self._dispatcher.discard(pending)
+            detail = 'no change in sight before its limit'
+            self._registry.refuse(pending, pending.waiting_for, detail)
+
     def _refuse_overdue(self, now: float) -> None:
         for pending in self._registry.overdue(now):
             if pending.sent_to:
--- a/src/tidegrade/core/_pending.py
+++ b/src/tidegrade/core/_pending.py
@@ -12,7 +12,8 @@
     ``commit_sent`` says that an earlier try may have committed, so that
     the request can't be refused as not run any more. ``sent_to`` is the
     endpoint that is working on it, ``last_sent_to`` the last that was.
-    ``after`` is the position that a read asked for.
+    ``after`` is the position that a read asked for. ``needs_permission``
+    says that the last try to place it failed for lack of the permission.
     """
 
     req: _types.Request
@@ -30,6 +31,7 @@
     confirm_term: int = 0
     replayed: bool = False
     abandoned: bool = False
+    needs_permission: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -65,6 +65,7 @@
 
     def place(self, pending: _pending.Pending, now: float) -> Placement:
         """Try to hand a read to an endpoint."""
+        pending.needs_permission = False
         row = self._state.row
         if row is None:
             return self._wait_for_row(pending, now)
@@ -229,9 +230,11 @@
         if pending.req.max_age is not None:
             pending.waiting_for = _types.Code.TOO_STALE
         if not self._state.primary_takes_work(now):
+            pending.needs_permission = True
             return Placement.PRIMARY
         undated = self._checked and need.max_age is not None
         if undated and not self._state.may_acknowledge(now):
+            pending.needs_permission = True
             return Placement.PRIMARY
         conn = self._state.pool.idle(row.primary)
         if conn is None:
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -58,6 +58,21 @@
             if p.req.deadline <= now or (not p.tries and p.req.place_by <= now)
         ]
 
+    def without_prospect(self, now: float) -> list[_pending.Pending]:
+        """Give the requests that the permission will come too late for."""
+        state = self._state
+        if state.may_acknowledge(now):
+            return []
+        expected = state.outlook.expected_at(now)
+        return [
+            p
+            for p in self._open.values()
+            if p.needs_permission
+            and not p.sent_to
+            and not p.commit_sent
+            and expected > min(p.req.deadline, p.req.place_by)
+        ]
+
     def answer(self, pending: _pending.Pending, answer: _types.Answer) -> None:
         """Give the final answer; a second one breaks an invariant."""
         _types.invariant(
@@ -104,7 +119,7 @@
                 outcome,
                 code=code,
                 detail=detail,
-                retry_after=self._retry_after(code, ahead),
+                retry_after=self._retry_after(pending, code, ahead),
             ),
         )
 
@@ -118,9 +133,16 @@
         pending.commit_sent = True
         self.refuse(pending, code, detail)
 
-    def _retry_after(self, code: _types.Code, ahead: int) -> float | None:
+    def _retry_after(
+        self, pending: _pending.Pending, code: _types.Code, ahead: int
+    ) -> float | None:
         if code in FINAL_CODES:
             return None
+        state = self._state
+        if pending.needs_permission and not state.may_acknowledge(state.now):
+            return state.outlook.return_after(
+                pending.req.priority, state.now, state.rng
+            )
         if code is _types.Code.NO_PRIMARY:
             return NO_PRIMARY_RETRY
         return self.service.retry_after(ahead, self.width())
@@ -130,7 +152,7 @@
         return _shares.is_pressed(
             waited=now - pending.arrived,
             service=self.service.mean,
-            age=now - self._state.began_at,
+            age=now - self._state.outlook.began_at,
         )
 
     def width(self) -> int:
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -7,6 +7,7 @@
 from tidegrade import config
 from tidegrade.core import _events
 from tidegrade.core import _jobs
+from tidegrade.core import _outlook
 from tidegrade.core import _permission
 from tidegrade.core import _pool
 from tidegrade.core import _row
@@ -60,7 +61,7 @@
     paused_at: float | None = None
     polls_for_peers: bool = True
     draining: bool = False
-    began_at: float = float('inf')
+    outlook: _outlook.Outlook = attrs.field(factory=_outlook.Outlook)
     now: float = 0.0
     leaving_since: dict[str, float] = attrs.field(factory=dict)
     commands: list[_events.Command] = attrs.field(factory=list)
@@ -78,7 +79,10 @@
             settings=settings,
             rng=rng,
             pool=_pool.Pool(
-                _shares.shares_of(cfg, settings.max_proxies), rng
+                _shares.shares_of(
+                    cfg, settings.max_proxies, settings.domain
+                ),
+                rng,
             ),
             permission=_permission.Permission(),
             views={n: _view.EndpointView(n) for n in cfg.endpoints},
--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -120,7 +120,8 @@
     most ``replica_wait`` seconds for a replica to catch up, and one
     endpoint gets ``attempt_limit`` seconds for it. ``autocommit``
     hands a single write to the endpoint without a transaction around it;
-    ``read_only`` is said of a transaction that begins.
+    ``read_only`` is said of a transaction that begins. An answer by
+    ``aim`` is worth most; ``priority`` 0 goes first.
     """
 
     id: int
@@ -140,6 +141,8 @@
     attempt_limit: float = float('inf')
     autocommit: bool = False
     read_only: bool = False
+    aim: float = float('inf')
+    priority: int = 2
 
 
 def shifted_request(req: Request, seconds: float, number: int = 0) -> Request:
@@ -149,6 +152,7 @@
         id=number,
         deadline=req.deadline + seconds,
         place_by=req.place_by + seconds,
+        aim=req.aim + seconds,
     )
 
 
--- a/src/tidegrade/core/_writes.py
+++ b/src/tidegrade/core/_writes.py
@@ -64,10 +64,12 @@
         """Give an idle connection to a primary that may be written to."""
         state = self._state
         pending.waiting_for = _types.Code.NO_PRIMARY
+        pending.needs_permission = True
         if state.row is None or not state.primary_takes_work(now):
             return None
         if not state.may_acknowledge(now):
             return None
+        pending.needs_permission = False
         conn = state.pool.idle(state.row.primary)
         if conn is None:
             if state.pool.in_use(state.row.primary):
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -258,6 +258,8 @@
             if cut_off != (since is not None):
                 since = now if cut_off else None
                 self._cut_off = cut_off
+                for group in self._groups.values():
+                    group.post(core.CutOff(cut_off))
                 logs.write(
                     logs.LogEvent.CUT_OFF
                     if cut_off
--- a/src/tidegrade/sessions/_session.py
+++ b/src/tidegrade/sessions/_session.py
@@ -336,6 +336,8 @@
             values=tuple(self._values.items()),
             autocommit=kind is core.Kind.WRITE,
             read_only=read_only,
+            aim=now + route.target_latency,
+            priority=route.priority,
         )
 
     def _saw(self, route: _routes.DatabaseRoute, answer: core.Answer) -> None:
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -46,8 +46,12 @@
     could be opened by seven proxies.
     """
     cfg = machines.Machine(CHECKING, {}, CAP, PROXIES).core.cfg
-    share = _shares.shares_of(cfg, PROXIES)['a']
-    assert CAP - PROXIES * share.usual >= PROXIES
+    shares = [
+        _shares.shares_of(cfg, PROXIES, domain)['a']
+        for domain in ('x', 'x', 'x', 'y', 'y', 'z', 'z')
+    ]
+    dead = sum(share.usual for share in shares)
+    assert CAP - dead >= PROXIES - 1
 
 
 def test_a_proxy_that_has_just_begun_keeps_to_the_usual_number(seventh):
@@ -74,3 +78,12 @@
     assert seventh.core.conn_count('a') == CAP // PROXIES
     settle(seventh, _shares.SPARE_REST + 0.1)
     assert seventh.core.conn_count('a') == 1
+
+
+def test_one_near_connection_more_where_there_are_enough():
+    cfg = machines.Machine(CHECKING, {'a': 'x'}, CAP, PROXIES).core.cfg
+    near = _shares.shares_of(cfg, PROXIES, 'x')['a']
+    far = _shares.shares_of(cfg, PROXIES, 'z')['a']
+    assert (near.usual, far.usual) == (2, 1)
+    few = machines.Machine(CHECKING, {}, PROXIES, PROXIES).core.cfg
+    assert _shares.shares_of(few, PROXIES, 'x')['a'] == _shares.Share(1, 1)
