Turn callers away from a domain that is cut off sooner

Change: silence of all outside for 0.65 s makes the domain not ready, also while a permission is still held, since that lasts up to 1.1 s without a majority; from one second after that a session is closed right after a refusal, when its caller expects nothing, and all at rest from 2.2 s on. The judgement stands in core/, without tasks or sockets.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -46,6 +46,7 @@
 from tidegrade.core._homes import Homes
 from tidegrade.core._homes import homes
 from tidegrade.core._homes import owner_of
+from tidegrade.core._isolation import Isolation
 from tidegrade.core._jobs import CommitJob
 from tidegrade.core._jobs import ExecuteJob
 from tidegrade.core._jobs import Failure
@@ -131,6 +132,7 @@
     'GroupRow',
     'Homes',
     'InvariantBroken',
+    'Isolation',
     'Job',
     'JobDone',
     'JobEnded',
--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -72,6 +72,16 @@
         """Give every peer that was heard and not forgotten since."""
         return self._roster.known()
 
+    def heard_outside(self) -> float | None:
+        """Give when a proxy of another failure domain was last heard."""
+        own = self._deps.domain
+        heard = [
+            peer.heard_at
+            for peer in self._roster.known()
+            if peer.beat.domain != own
+        ]
+        return max(heard, default=None)
+
     def alive(self) -> list[_roster.Peer]:
         """Give the peers heard lately."""
         return self._roster.alive(self._deps.clock.now())
--- a/src/tidegrade/ports/_sessions.py
+++ b/src/tidegrade/ports/_sessions.py
@@ -87,6 +87,9 @@
     def stop_accepting(self) -> None:
         """Take no new connections; those that were taken go on."""
 
+    def close_refused(self, wanted: bool) -> None:
+        """Close each session after a refusal from now on, or do no more."""
+
     def close_resting(self) -> int:
         """Close the sessions that rest; give how many are open still."""
 
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -25,7 +25,6 @@
 from tidegrade.session_proxy import _endpoint_list
 from tidegrade.session_proxy import _groups
 from tidegrade.session_proxy import _homes
-from tidegrade.session_proxy import _isolation
 from tidegrade.session_proxy import _members
 from tidegrade.session_proxy import _peer_key
 from tidegrade.session_proxy import _peer_service
@@ -69,7 +68,7 @@
         self._routes: dict[str, _routed_group.RoutedGroup] = {}
         self._metrics = _metrics.Metrics()
         self._is_registered = False
-        self._cut_off = False
+        self._isolation = core.Isolation()
         self._stopping = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._session_deps = sessions.SessionDeps(
@@ -149,7 +148,6 @@
             deps.clock,
         )
         self._homes = _homes.HomeMap(spot, peers, deps.clock)
-        self._isolation = _isolation.Isolation(deps.domain, deps.clock, peers)
         registration = _registration.Registration(deps, self._registered)
         self._members = _members.MembersTask(
             deps.table, peers, self._cfg.members_poll_s
@@ -251,28 +249,36 @@
 
     async def _watch_isolation(self) -> None:
         """Leave callers to other failure domains while cut off."""
-        since: float | None = None
         while True:
             now = self._outside.clock.now()
-            cut_off = self._isolation.cut_off(self._groups.values())
-            if cut_off != (since is not None):
-                since = now if cut_off else None
-                self._cut_off = cut_off
-                for group in self._groups.values():
-                    group.post(core.CutOff(cut_off))
-                logs.write(
-                    logs.LogEvent.CUT_OFF
-                    if cut_off
-                    else logs.LogEvent.IN_TOUCH
-                )
-            if since is not None and now - since > self._cfg.unready_s:
+            if self._isolation.observe(
+                self._peers.heard_outside(), self._is_permitted(now), now
+            ):
+                self._isolation_changed()
+            self._outside.door.close_refused(
+                self._isolation.refused_should_go(now)
+            )
+            if self._isolation.all_should_go(now):
                 self._outside.door.close_resting()
             await anyio.sleep(ISOLATION_LOOK)
 
+    def _is_permitted(self, now: float) -> bool:
+        """Tell whether the permission of some group is held."""
+        machines = (group.machine for group in self._groups.values())
+        return any(machine.may_acknowledge(now) for machine in machines)
+
+    def _isolation_changed(self) -> None:
+        cut_off = self._isolation.cut_off
+        logs.write(
+            logs.LogEvent.CUT_OFF if cut_off else logs.LogEvent.IN_TOUCH
+        )
+        for group in self._groups.values():
+            group.post(core.CutOff(cut_off))
+
     def _ready(self) -> bool:
         if self._stopping.is_set() or self._catalogue is None:
             return False
-        if self._cut_off:
+        if self._isolation.cut_off:
             return False
         return all(
             self._group_of(name) is not None for name in self._catalogue.groups
