Take an endpoint that is full of connections for alive

One group was without a primary for 1.5 s, and its promotion met full endpoints as well. Ruled out: a slow endpoint (it answered those who had a connection), and a cut. Change: the adapters say that an endpoint itself answered that it is full; that is a sign of life and no failure.

--- a/src/tidegrade/adapters/_postgres.py
+++ b/src/tidegrade/adapters/_postgres.py
@@ -90,8 +90,14 @@
                 cursor_factory=psycopg.AsyncRawCursor,
             )
         except psycopg.Error as exc:
-            refused = 'refused' in str(exc)
-            return result.Err(ports.ConnectProblem(str(exc), refused))
+            text = str(exc)
+            return result.Err(
+                ports.ConnectProblem(
+                    text,
+                    refused='refused' in text,
+                    full='too many clients' in text,
+                )
+            )
         return result.Ok(PostgresConn(conn, group, self._cfg))
 
 
--- a/src/tidegrade/core/_events.py
+++ b/src/tidegrade/core/_events.py
@@ -37,11 +37,13 @@
     """A connection has ended, or could not be opened.
 
     ``refused`` says that the endpoint's machine answered that nobody
-    listens. A job that was running has been reported lost before.
+    listens, ``full`` that the endpoint takes no more connections. A job
+    that was running has been reported lost before.
     """
 
     conn: int
     refused: bool = False
+    full: bool = False
 
 
 @attrs.frozen
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -220,7 +220,10 @@
             return
         if conn.state is _pool.ConnState.OPENING:
             view = self._state.views[conn.endpoint]
-            view.failed(event.refused, now)
+            if event.full:
+                view.is_alive(now)
+            else:
+                view.failed(event.refused, now)
         if conn.job is not None:
             lost = _jobs.JobFailed(_jobs.Failure.LOST)
             self._job_over(conn, lost, now)
@@ -355,9 +358,7 @@
     ) -> None:
         state = self._state
         state.cfg = event.cfg
-        shares = _shares.shares_of(
-            event.cfg, event.max_proxies, state.settings.domain
-        )
+        shares = _shares.shares_of(event.cfg, event.max_proxies)
         state.pool.set_shares(shares)
         for name in event.cfg.endpoints:
             state.views.setdefault(name, _view.EndpointView(name))
--- a/src/tidegrade/core/_shares.py
+++ b/src/tidegrade/core/_shares.py
@@ -43,14 +43,9 @@
         return held < (self.most if pressed else self.usual)
 
 
-def shares_of(
-    cfg: config.Group, max_proxies: int, domain: str
-) -> dict[str, Share]:
+def shares_of(cfg: config.Group, max_proxies: int) -> dict[str, Share]:
     """Give this proxy's part of each endpoint's connections.
 
-    To those in its own failure domain it usually keeps one more, so that
-    two reads at a time stay near.
-
     Each gets one at least: with more proxies than connections an endpoint
     turns some away, which is better than that nobody may ask it. A proxy
     that is not among those that share, as ``max_proxies`` of 0 tells, has
@@ -59,9 +54,7 @@
     if not max_proxies:
         return dict.fromkeys(cfg.endpoints, Share())
     return {
-        name: _share(
-            endpoint.max_connections, max_proxies, endpoint.domain == domain
-        )
+        name: _share(endpoint.max_connections, max_proxies)
         for name, endpoint in cfg.endpoints.items()
     }
 
@@ -78,7 +71,7 @@
     return waited >= max(service, MIN_WAIT)
 
 
-def _share(cap: int, proxies: int, near: bool) -> Share:
+def _share(cap: int, proxies: int) -> Share:
     most = max(1, cap // proxies)
     usual = max(1, int(cap * USUAL_PART) // proxies)
-    return Share(usual=min(usual + near, most), most=most)
+    return Share(usual=usual, most=most)
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -79,9 +79,7 @@
             settings=settings,
             rng=rng,
             pool=_pool.Pool(
-                _shares.shares_of(
-                    cfg, settings.max_proxies, settings.domain
-                ),
+                _shares.shares_of(cfg, settings.max_proxies),
                 rng,
             ),
             permission=_permission.Permission(),
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -55,6 +55,14 @@
             self.report = self._completed(report)
             self.sent_at = sent_at
 
+    def is_alive(self, now: float) -> None:
+        """Note an answer that shows nothing but that it is there.
+
+        One that is full of connections, as after a restart of all proxies,
+        would else count as down, and a healthy primary be replaced.
+        """
+        self.excuse(now)
+
     def excuse(self, now: float) -> None:
         """Count its silence from now on; it could not be heard before."""
         self.failures = 0
--- a/src/tidegrade/daemon/_conn_task.py
+++ b/src/tidegrade/daemon/_conn_task.py
@@ -38,7 +38,7 @@
 
     async def run(self) -> None:
         """Run until the connection has ended."""
-        refused = False
+        problem: ports.ConnectProblem | None = None
         with self._scope:
             opened = await self._endpoints.connect(self._endpoint, self._group)
             if opened.is_ok():
@@ -46,13 +46,20 @@
                 self._post(core.ConnOpened(self._id))
                 await self._serve(self._conn)
             else:
-                refused = self._refused(opened.unwrap_err())
+                problem = opened.unwrap_err()
+                self._log_refused(problem)
         if self._conn is not None:
             with anyio.CancelScope(shield=True):
                 await self._conn.close()
         self._send.close()
         self._jobs.close()
-        self._post(core.ConnClosed(self._id, refused))
+        self._post(
+            core.ConnClosed(
+                self._id,
+                refused=problem is not None and problem.refused,
+                full=problem is not None and problem.full,
+            )
+        )
 
     def start(self, job: core.Job) -> None:
         """Run a job; the one before it must have ended."""
@@ -75,14 +82,14 @@
             if self._closing or _ended(outcome):
                 return
 
-    def _refused(self, problem: ports.ConnectProblem) -> bool:
+    def _log_refused(self, problem: ports.ConnectProblem) -> None:
         logs.write(
             logs.LogEvent.CONNECT_FAILED,
             host=self._endpoint.host,
             port=self._endpoint.port,
             reason=problem.detail,
+            full=problem.full,
         )
-        return problem.refused
 
 
 def _ended(outcome: core.JobOutcome) -> bool:
--- a/src/tidegrade/ports/_endpoint.py
+++ b/src/tidegrade/ports/_endpoint.py
@@ -14,11 +14,13 @@
     """Why a connection could not be opened.
 
     ``refused`` says that the endpoint's machine is there and nobody
-    listens on the port.
+    listens on the port, ``full`` that the endpoint itself answered that it
+    has as many connections as it takes.
     """
 
     detail: str
     refused: bool
+    full: bool = False
 
 
 class EndpointConn(typing.Protocol):
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -56,6 +56,8 @@
         self.frozen: set[str] = set()
         self.failing: set[str] = set()
         self.failures: dict[str, core.JobFailed] = {}
+        #: Endpoints that take no more connections.
+        self.full: set[str] = set()
         self.jobs: list[tuple[str, core.Job]] = []
         #: Jobs that froze, by their connection.
         self.running: dict[int, core.Job] = {}
@@ -77,6 +79,8 @@
     def _carry_out(self, command: core.Command) -> list[core.Event]:
         if isinstance(command, core.OpenConn):
             self.endpoint_of[command.conn] = command.endpoint
+            if command.endpoint in self.full:
+                return [core.ConnClosed(command.conn, full=True)]
             return [core.ConnOpened(command.conn)]
         if isinstance(command, core.CloseConn):
             return [core.ConnClosed(command.conn)]
