Learn the pauses of heartbeats before a domain counts as cut off

Ruled out: lost links (none went silent then). Change: the silence that counts is one and a half times the longest pause of late, at least 0.65 s; pauses above 1.1 s are not learned.

--- a/src/tidegrade/core/_isolation.py
+++ b/src/tidegrade/core/_isolation.py
@@ -8,11 +8,19 @@
 
 import attrs
 
-#: Silence of every proxy outside after which the domain counts as cut off,
-#: in seconds. Each sends a heartbeat every 0.5 s, so this is longer than
-#: the pause between two of one proxy, and its loss alone costs nothing:
+#: Shortest silence of every proxy outside after which the domain counts as
+#: cut off, in seconds. Each sends a heartbeat every 0.5 s, so this is longer
+#: than the pause between two of one proxy, and its loss alone costs nothing:
 #: the balancer goes by two looks, a second apart.
 SILENCE = 0.65
+#: Where heartbeats come through relays the pauses are longer: a silence
+#: counts from this many times the longest pause of late.
+PAUSES = 1.5
+#: Longest pause that is taken for a usual one, in seconds: a relay passes
+#: heartbeats on each half second, and two may follow one another.
+LONGEST_PAUSE = 1.1
+#: Time in which the memory of a pause loses half of its length, in seconds.
+PAUSE_HALF_LIFE = 10.0
 #: Silence after which a permission that is still held shows that the
 #: others have died and this domain must serve, in seconds: longer than a
 #: permission lasts without a majority.
@@ -29,6 +37,9 @@
     """Follows whether this domain is cut off; times in seconds."""
 
     since: float | None = None
+    _heard_at: float = float('-inf')
+    _pause: float = 0.0
+    _looked_at: float = float('-inf')
 
     @property
     def cut_off(self) -> bool:
@@ -45,7 +56,8 @@
         some group is held.
         """
         before = self.cut_off
-        if not _is_cut_off(heard_at, permitted, now):
+        self._note_pause(heard_at, now)
+        if not self._is_cut_off(heard_at, permitted, now):
             self.since = None
         elif self.since is None:
             self.since = now
@@ -65,8 +77,23 @@
             return False
         return now - self.since >= SURELY_NOTICED_AFTER
 
+    def _is_cut_off(
+        self, heard_at: float | None, permitted: bool, now: float
+    ) -> bool:
+        if heard_at is None:
+            return False
+        silence = now - heard_at
+        if silence < max(SILENCE, PAUSES * self._pause):
+            return False
+        return not permitted or silence < SURE
 
-def _is_cut_off(heard_at: float | None, permitted: bool, now: float) -> bool:
-    if heard_at is None or now - heard_at < SILENCE:
-        return False
-    return not permitted or now - heard_at < SURE
+    def _note_pause(self, heard_at: float | None, now: float) -> None:
+        """Learn how long it usually takes until somebody is heard again."""
+        passed = min(now - self._looked_at, PAUSE_HALF_LIFE)
+        self._pause *= 0.5 ** (passed / PAUSE_HALF_LIFE)
+        if heard_at is not None and heard_at > self._heard_at:
+            pause = now - self._heard_at
+            if pause <= LONGEST_PAUSE:
+                self._pause = max(self._pause, pause)
+            self._heard_at = heard_at
+        self._looked_at = now
--- a/tests/core/test_isolation.py
+++ b/tests/core/test_isolation.py
@@ -39,6 +39,34 @@
     assert not seen['all']
 
 
+def test_pauses_of_relays_are_no_cut():
+    """Found with 71 proxies: domains counted as cut off a hundred times.
+
+    Relays pass heartbeats on, so that each is up to a second old.
+    """
+    isolation = core.Isolation()
+    cut_off = 0
+    for step in range(200):
+        now = step * LOOK
+        heard_at = now - 0.3 - (step % 7) * LOOK
+        isolation.observe(heard_at, False, now)
+        cut_off += isolation.cut_off
+    assert cut_off <= 4
+
+
+def test_a_cut_of_relays_is_noticed_all_the_same():
+    isolation = core.Isolation()
+    for step in range(100):
+        now = step * LOOK
+        isolation.observe(now - 0.3 - (step % 7) * LOOK, False, now)
+    heard_at = now - 0.3
+    for _ in range(30):
+        now += LOOK
+        if isolation.observe(heard_at, False, now):
+            break
+    assert now - heard_at <= 1.8
+
+
 def test_a_domain_that_hears_others_is_in_touch():
     isolation = core.Isolation()
     assert not isolation.observe(10.0, False, 10.5)
