Read the logs of many proxies together

Cause: the loss of a request could be followed only by hand, file by file, and what was refused in which second had to be counted with scripts that did not stay. Ruled out: reading them in the program that runs (its start would pay). Change: `tidegrade logs summary` counts answers by interval, kind and outcome, `tidegrade logs request ID` follows one id through all proxies with what they believed in the two seconds before.

--- a/src/tidegrade/cli/_main.py
+++ b/src/tidegrade/cli/_main.py
@@ -8,6 +8,7 @@
 
 from tidegrade.cli import _config
 from tidegrade.cli import _exit
+from tidegrade.cli import _logs
 from tidegrade.cli import _options
 from tidegrade import http_proxy
 
@@ -17,6 +18,7 @@
     help='A database proxy with session consistency.',
 )
 app.add_typer(_config.app, name='config')
+app.add_typer(_logs.app, name='logs')
 
 
 @app.command()
