Say beside each decision what it was measured to bring

Cause: reading the change as a newcomer: reserve, outlook, isolation and order named their load pattern but not what they gain, and a method that notes an answer was named like a question. Ruled out: changes of behaviour; only comments and one name. Change: a measured figure in the page of each, `answered_full` for `is_alive`.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -221,7 +221,7 @@
         if conn.state is _pool.ConnState.OPENING:
             view = self._state.views[conn.endpoint]
             if event.full:
-                view.is_alive(now)
+                view.answered_full(now)
             else:
                 view.failed(event.refused, now)
         if conn.job is not None:
--- a/src/tidegrade/core/_order.py
+++ b/src/tidegrade/core/_order.py
@@ -4,7 +4,9 @@
 than can be answered while their answers are worth most. Served in the
 order of arrival, each is answered too late, as long as the backlog lasts.
 So those that can still be in time go before those that can't, urgent ones
-before others; who has waited long moves up, so that none starves.
+before others; who has waited long moves up, so that none starves. Behind a
+backlog of half a second and under a load of 80 %, at least 30 of 40 new
+requests are in time (a replay in the tests).
 """
 
 import attrs
--- a/src/tidegrade/core/_outlook.py
+++ b/src/tidegrade/core/_outlook.py
@@ -6,6 +6,8 @@
 most are refused all the same: on a day with a cut domain 190 callers gave
 up before an answer came. So a request is refused on arrival if it can't be
 served before its limit, as far as can be told, and told when to return.
+The worth that was refused late fell by this to a seventh on a day with a
+split, and to a half on one with a cut (two seeds each).
 """
 
 import random
--- a/src/tidegrade/core/_routing.py
+++ b/src/tidegrade/core/_routing.py
@@ -45,13 +45,12 @@
 class ReplicaState:
     """What is known of a replica that may serve reads.
 
-    ``fresh_at`` is a time up to which its data is complete; ``delay``
-    how far behind the primary it usually is, in seconds, as it last showed
-    at ``reported_at``. ``load`` counts
-    this proxy's connections that are not idle, ``slots`` is how many
-    statements it runs at once. ``slow`` says that it has been answering
-    much later than the others, ``behind`` that it has just lacked what a
-    read asked for.
+    ``fresh_at`` is a time up to which its data is complete; ``delay`` how
+    far behind the primary it usually is, in seconds, as it last showed at
+    ``reported_at``. ``load`` counts this proxy's connections that are not
+    idle, ``slots`` is how many statements it runs at once. ``slow`` says
+    that it has been answering much later than the others, ``behind`` that
+    it has just lacked what a read asked for.
     """
 
     name: str
--- a/src/tidegrade/core/_shares.py
+++ b/src/tidegrade/core/_shares.py
@@ -3,7 +3,9 @@
 An endpoint counts the connections of all callers together, and keeps those
 of a machine that lost power for some seconds after it is back. If proxies
 held all that they may, none could be opened then: whoever restarts would
-find the endpoint full of its own dead connections.
+find the endpoint full of its own dead connections. After a loss of power of
+seven proxies the share of requests answered well in the worst four seconds
+of a day rose by this from 0.54 to 0.63 and from 0.51 to 0.56 (two seeds).
 """
 
 import attrs
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -55,11 +55,11 @@
             self.report = self._completed(report)
             self.sent_at = sent_at
 
-    def is_alive(self, now: float) -> None:
-        """Note an answer that shows nothing but that it is there.
+    def answered_full(self, now: float) -> None:
+        """Note that it takes no more connections, so that it is there.
 
-        One that is full of connections, as after a restart of all proxies,
-        would else count as down, and a healthy primary be replaced.
+        After a restart of all proxies a healthy primary would else count
+        as down and be replaced.
         """
         self.excuse(now)
 
