Leave a silent connection also just after a start

All connections gone silent within three seconds of a start had a healthy primary replaced: a proxy that young opens no second connection, so that nothing but the silent one was asked for 0.6 s. Ruled out: the stand-in (it promoted since it was told to). Change: after 0.15 s of waiting a young proxy opens another all the same.

--- a/src/tidegrade/core/_shares.py
+++ b/src/tidegrade/core/_shares.py
@@ -24,6 +24,10 @@
 #: ended, in seconds. A proxy that began less long ago keeps to the usual
 #: number, so that others that began with it find room.
 DEAD_COUNTED_FOR = 3.0
+#: Wait after which a proxy that has just begun opens more all the same, in
+#: seconds: its connections may have gone silent, and it must hear of the
+#: primary on another before 0.6 s of silence make it count as down.
+LONG_WAIT = 0.15
 #: Least wait that is worth another connection, in seconds: about what
 #: opening one takes.
 MIN_WAIT = 0.012
@@ -69,7 +73,7 @@
     is how long this proxy has been running. All times are in seconds.
     """
     if age < DEAD_COUNTED_FOR:
-        return False
+        return waited >= LONG_WAIT
     return waited >= max(service, MIN_WAIT)
 
 
