--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -174,6 +174,13 @@
         self._config_version = version
         if max_proxies and not self.serving:
             self._rows.fetch()
+        if max_proxies != self.sharers:
+            logs.write_bounded(
+                logs.LogEvent.SHARE_CHANGED,
+                group=str(self.key),
+                proxies=max_proxies,
+                before=self.sharers,
+            )
         self.serving = max_proxies > 0
         self.sharers = max_proxies
         self.post(core.ConfigChanged(cfg, max_proxies))
--- a/src/tidegrade/daemon/_spread.py
+++ b/src/tidegrade/daemon/_spread.py
@@ -19,6 +19,7 @@
 
 from tidegrade import core
 from tidegrade.daemon import _roster
+from tidegrade import logs
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
@@ -329,6 +330,11 @@
         asked_at = self._asked.get(question, float('-inf'))
         if question.proxy and now - asked_at >= ASK_PAUSE:
             self._asked[question] = now
+            logs.write_bounded(
+                logs.LogEvent.DOMAIN_DIFFERS,
+                peer=question.proxy,
+                domain=question.domain,
+            )
             self._questions.add(question)
             self._wanted.set()
 
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -57,6 +57,16 @@
         'nobody outside the failure domain is heard',
     )
     IN_TOUCH = (1403, logging.INFO, 'the failure domain is in touch again')
+    DOMAIN_DIFFERS = (
+        1405,
+        logging.INFO,
+        'a relay counts the proxies of a failure domain otherwise',
+    )
+    SHARE_CHANGED = (
+        1406,
+        logging.INFO,
+        "the share of a group's connections has changed",
+    )
     ENDPOINT_LEAVING = (1501, logging.INFO, 'endpoints are leaving')
     CONNECT_FAILED = (1502, logging.WARNING, 'an endpoint was not reached')
     REQUEST_FAILED = (1601, logging.ERROR, 'a request met a fault of ours')
--- a/tests/core/test_failover.py
+++ b/tests/core/test_failover.py
@@ -89,6 +89,15 @@
     return Bench()
 
 
+def test_no_first_row_is_made_before_others_could_be_heard(bench):
+    """Of 195 proxies that started together 97 wrote each row, in vain."""
+    bench.row = None
+    bench.observe(down=False, settled=False)
+    assert bench.take(supervision.ReadRow) == []
+    bench.observe(down=False)
+    assert len(bench.take(supervision.ReadRow)) == 1
+
+
 def test_a_healthy_primary_is_left_alone(bench):
     bench.observe(down=False)
     assert not bench.take(supervision.ReadRow)
--- a/tests/daemon/test_row_task.py
+++ b/tests/daemon/test_row_task.py
@@ -73,3 +73,29 @@
             while not seen:
                 await anyio.sleep(0.01)
         tasks.cancel_scope.cancel()
+
+
+async def test_reads_that_find_nothing_new_become_rarer():
+    """While a term changed 195 proxies made 2,700 reads a second."""
+    reads = 0
+
+    class Counting(Table):
+        async def read(self, key: str):
+            nonlocal reads
+            reads += 1
+            return await super().read(key)
+
+    task = _row_task.RowTask(
+        'k',
+        Counting(failing=0),
+        lambda event: task.fetch(),
+        anyio.current_time,
+        interval=600.0,
+        serving=lambda: True,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(task.run)
+        await anyio.sleep(1.5)
+        tasks.cancel_scope.cancel()
+    # Once each 0.05 s would be 30.
+    assert 3 <= reads <= 9
