--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -172,8 +172,15 @@
     async def ask_any(
         self, body: messages.PeerBody
     ) -> messages.PeerBody | None:
-        """Ask the other proxies in turn until one answers."""
-        addresses = [peer.address for peer in self.alive()]
+        """Ask the other proxies in turn until one answers.
+
+        Those with the newest configuration go first: two that both lack it
+        would else ask each other for ever.
+        """
+        peers = sorted(
+            self.alive(), key=lambda p: p.beat.config_version, reverse=True
+        )
+        addresses = [peer.address for peer in peers]
         for address in addresses or self._roster.addresses():
             asked = await self._links.ask(address, body, ASK_LIMIT)
             if asked.answer is not None:
--- /dev/null
+++ b/tests/daemon/test_peers_task.py
@@ -0,0 +1,64 @@
+"""Whom a proxy asks for what others know."""
+
+import random
+
+import attrs
+import pytest
+
+from tidegrade import core
+from tidegrade.daemon import _deps
+from tidegrade.daemon import _peers_task
+from tidegrade.peers import _links
+from tidegrade.peers import _messages as messages
+
+pytestmark = pytest.mark.anyio
+
+ASK = messages.AskConfig(core.ConfigRef(2, ''))
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+class Clock:
+    """A clock that stands still."""
+
+    def now(self) -> float:
+        return 100.0
+
+
+@attrs.define
+class Links:
+    """Answers each question with the host that was asked."""
+
+    def post(self, address: _links.Address, body: messages.PeerBody) -> bool:
+        return True
+
+    async def ask(self, address, body, limit) -> _links.Asked:
+        ref = core.ConfigRef(2, address.host)
+        return _links.Asked(True, messages.ConfigContent(ref, b''))
+
+
+@pytest.fixture
+def peers(monkeypatch) -> _peers_task.PeersTask:
+    monkeypatch.setattr(_links, 'Links', lambda key, own: Links())
+    cfg = _deps.PeerSettings('h0', 1, '00' * 32)
+    deps = _deps.Deps('p0', 'a', cfg, Clock(), None, None, random.Random(1))
+
+    async def ignore(body: messages.PeerBody) -> None:
+        return None
+
+    return _peers_task.PeersTask(deps, ignore)
+
+
+async def test_who_has_the_newest_configuration_is_asked_first(peers):
+    """Two that both lacked it asked each other for ever."""
+    for number, version in enumerate((0, 2, 1), start=1):
+        peers.heard(
+            messages.Heartbeat(
+                f'p{number}', 'a', f'h{number}', 1, version, False
+            )
+        )
+    answer = await peers.ask_any(ASK)
+    assert answer.ref.sha256 == 'h2'
--- a/tests/daemon/test_spread.py
+++ b/tests/daemon/test_spread.py
@@ -15,6 +15,8 @@
 DOMAINS = ('a', 'b', 'c')
 INTERVAL = 0.5
 ALIVE = 2.6
+#: Its multiples fill an interval evenly.
+GOLDEN = 0.618034
 KEY = messages.GroupKey('s', 'g')
 
 
@@ -114,13 +116,36 @@
         for _ in range(int(seconds / INTERVAL)):
             self.clock.at += INTERVAL
             for proxy in self.proxies.values():
-                if proxy.up:
-                    proxy.spread.send(proxy.beat)
-                    proxy.spread.send_digest(proxy.beat)
-            for name, proxy in self.proxies.items():
-                for question in proxy.spread.questions():
-                    self.questions += 1
-                    self.ask(name, question)
+                self.beat(proxy)
+            self.ask_all()
+
+    def run_out_of_step(self, seconds: float) -> None:
+        """Run with the heartbeats of proxies spread over the interval."""
+        start = self.clock.at
+        for turn in range(int(seconds / INTERVAL)):
+            for phase, name in self.by_phase():
+                self.clock.at = start + (turn + phase) * INTERVAL
+                self.beat(self.proxies[name])
+                self.ask_all()
+        self.clock.at = start + seconds
+
+    def by_phase(self) -> list[tuple[float, str]]:
+        """Give when in each interval each proxy sends, in order."""
+        names = enumerate(self.proxies)
+        return sorted((number * GOLDEN % 1, name) for number, name in names)
+
+    def beat(self, proxy: Proxy) -> None:
+        """Have one proxy send its heartbeat, and its digest if any."""
+        if proxy.up:
+            proxy.spread.send(proxy.beat)
+            proxy.spread.send_digest(proxy.beat)
+
+    def ask_all(self) -> None:
+        """Have all questions that wait answered."""
+        for name, proxy in self.proxies.items():
+            for question in proxy.spread.questions():
+                self.questions += 1
+                self.ask(name, question)
 
     def alive_at(self, name: str) -> set[str]:
         peers = self.proxies[name].roster.alive(self.clock.now())
@@ -299,7 +324,7 @@
         changed = net.proxies[f'p{number}']
         opinion = messages.GroupOpinion(KEY, number, False)
         changed.beat = attrs.evolve(changed.beat, opinions=(opinion,))
-        net.run(INTERVAL)
-    net.run(2)
+        net.run_out_of_step(INTERVAL)
+    net.run_out_of_step(2)
     assert net.questions == 0
     assert net.all_up_know_each_other()
