--- a/tests/daemon/test_spread.py
+++ b/tests/daemon/test_spread.py
@@ -328,3 +328,20 @@
     net.run_out_of_step(2)
     assert net.questions == 0
     assert net.all_up_know_each_other()
+
+
+def test_a_change_is_news_from_when_it_was_learned(net):
+    """Through two relays it is more than a second old at the last one."""
+    relay = net.proxies[net.proxies['p0'].spread.relays('a')[0]]
+    opinion = messages.GroupOpinion(KEY, 3, False)
+    changed = attrs.evolve(net.proxies['p7'].beat, opinions=(opinion,))
+    net.clock.at += 2.0
+    aged = messages.AgedHeartbeat(changed, 1.2)
+    relay.spread.heard_digest(messages.Digest((aged,)))
+    relay.spread.send_digest(relay.beat)
+    inside = [
+        p
+        for p in net.proxies.values()
+        if p.beat.domain == 'a' and p is not relay
+    ]
+    assert all(p.roster.get('p7').beat.opinions == (opinion,) for p in inside)
