--- a/src/tidegrade/session_proxy/_endpoint_list.py
+++ b/src/tidegrade/session_proxy/_endpoint_list.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import anyio
+import attrs
 
 from tidegrade.codec import _structure
 from tidegrade.daemon import _peers_task
@@ -46,6 +47,8 @@
         self._learned = learned
         self._hurried = hurried
         self._known = ports.EndpointList(-1, ())
+        #: The known list as it is sent.
+        self._raw = b''
 
     async def run(self) -> None:
         """Keep the list up until cancelled."""
@@ -64,6 +67,12 @@
         """Take in the list as another proxy has it."""
         if not news.entries or news.version <= self._known.version:
             return
+        if news.entries == self._raw:
+            # Several watchers tell of the same change, each at a version
+            # of its own. Of 195 proxies that started together each took in
+            # 96 lists in 5 s, with the settings of ten groups each time.
+            self._known = attrs.evolve(self._known, version=news.version)
+            return
         read = _structure.structure(
             news.entries, tuple[ports.EndpointEntry, ...]
         )
@@ -106,8 +115,8 @@
 
     def _take(self, found: ports.EndpointList) -> None:
         self._known = found
+        self._raw = _structure.to_json(found.entries)
         self._learned(found.entries)
 
     def _news(self) -> messages.EndpointNews:
-        raw = _structure.to_json(self._known.entries)
-        return messages.EndpointNews(self._known.version, raw)
+        return messages.EndpointNews(self._known.version, self._raw)
--- a/src/tidegrade/session_proxy/_platform_watch.py
+++ b/src/tidegrade/session_proxy/_platform_watch.py
@@ -105,6 +105,9 @@
 
         Where it answers nobody, all keep trying in their usual places.
         """
+        if not self._peers.has_looked:
+            # Else all that start together would watch, and tell all.
+            return WATCHERS
         alive = self._peers.alive()
         seeing = [p.beat.proxy for p in alive if _sees(p)]
         if self.blind and seeing:
