Log who watches the platform, and configurations that were not got

Cause: from the record of the incident nobody could tell whether a proxy had not heard of a version, had not got it, or whether nobody watched: none of these decisions was logged.

Ruled out: reading it from traffic alone; who sends how much tells the large deployment's case only.

Change: events 1207 to 1210; no decision is changed.

--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -43,6 +43,18 @@
         logging.WARNING,
         'a configuration came from another proxy first',
     )
+    WATCH_TAKEN = (1207, logging.INFO, 'this proxy watches the platform')
+    WATCH_LEFT = (1208, logging.INFO, 'others watch the platform')
+    CONFIG_HEARD_OF = (
+        1209,
+        logging.INFO,
+        'another proxy has a newer configuration',
+    )
+    CONFIG_NOT_GOT = (
+        1210,
+        logging.WARNING,
+        'another proxy did not give its configuration',
+    )
     TERM_SEEN = (1301, logging.INFO, 'a group has a new term')
     TERM_ENDING = (1302, logging.WARNING, 'this proxy ends a term')
     TERM_BEGUN = (1303, logging.WARNING, 'this proxy began a term')
--- a/src/tidegrade/session_proxy/_platform_watch.py
+++ b/src/tidegrade/session_proxy/_platform_watch.py
@@ -50,6 +50,8 @@
         self._version = version
         self._rng = rng
         self._blind_until = float('-inf')
+        #: The newest version that was logged as heard of.
+        self._heard_of = 0
         self.turn = 0
 
     @property
@@ -97,9 +99,25 @@
             self._blind_until = anyio.current_time() + BLIND_FOR
         if self.blind != was_blind:
             self._peers.beat_now()
+        was_watching = self.watching
         self.turn = self._turn()
+        if self.watching != was_watching:
+            self._log_turn()
         self._directory.watch(self.watching)
 
+    def _log_turn(self) -> None:
+        event = logs.LogEvent.WATCH_LEFT
+        if self.watching:
+            event = logs.LogEvent.WATCH_TAKEN
+        alive = self._peers.alive()
+        logs.write(
+            event,
+            turn=self.turn,
+            blind=self.blind,
+            others_alive=len(alive),
+            others_seeing=sum(map(_sees, alive)),
+        )
+
     def _turn(self) -> int:
         """Give this proxy's place among those that the platform answers.
 
@@ -144,11 +162,19 @@
         if peer.beat.config_version <= known:
             return
         proxy = peer.beat.proxy
-        question = messages.AskConfig(
-            core.ConfigRef(peer.beat.config_version, '')
-        )
+        version = peer.beat.config_version
+        self._log_heard_of(proxy, version, known)
+        question = messages.AskConfig(core.ConfigRef(version, ''))
+        asked_at = anyio.current_time()
         answer = await self._peers.ask(proxy, question)
         if not isinstance(answer, messages.ConfigContent):
+            logs.write_bounded(
+                logs.LogEvent.CONFIG_NOT_GOT,
+                peer=proxy,
+                version=version,
+                known_version=known,
+                took_ms=round((anyio.current_time() - asked_at) * 1000),
+            )
             return
         if answer.ref.version <= known or not answer.document:
             return
@@ -160,6 +186,17 @@
         )
         self._directory.offer(answer.document)
 
+    def _log_heard_of(self, proxy: str, version: int, known: int) -> None:
+        if version <= self._heard_of:
+            return
+        self._heard_of = version
+        logs.write(
+            logs.LogEvent.CONFIG_HEARD_OF,
+            peer=proxy,
+            version=version,
+            known_version=known,
+        )
+
 
 def _sees(peer: _roster.Peer) -> bool:
     return not peer.beat.blind and not peer.beat.draining
