--- a/standins/tidegrade_edge/_relay.py
+++ b/standins/tidegrade_edge/_relay.py
@@ -11,6 +11,8 @@
 
 #: Bytes passed on at once.
 CHUNK = 65536
+#: The same where the rate is bounded: a few packets.
+PIECE = 8192
 
 _GONE = (
     OSError,
@@ -50,12 +52,16 @@
 class Relay:
     """Passes connections on to one port; faults concern open ones.
 
-    ``delay`` holds back every chunk, in seconds. While ``refusing``, new
-    connections are closed at once; those that are open go on.
+    ``delay`` holds back every chunk, in seconds. ``rate`` bounds what all
+    connections together bring back, in bytes a second; 0 is no bound. While
+    ``refusing``, new connections are closed at once; those that are open go
+    on.
     """
 
-    def __init__(self, target: int) -> None:
+    def __init__(self, target: int, rate: float = 0.0) -> None:
         self._target = target
+        self._rate = rate
+        self._busy = anyio.Lock()
         self._pipes: set[Pipe] = set()
         self.port = 0
         self.delay = 0.0
@@ -118,6 +124,22 @@
             finally:
                 self._pipes.discard(pipe)
 
+    def _most(self, way: Direction) -> int:
+        """Give how many bytes may be passed on at once.
+
+        Small pieces, where the rate is bounded, let connections take turns.
+        """
+        if way is Direction.OUT or not self._rate:
+            return CHUNK
+        return PIECE
+
+    async def _carry(self, chunk: bytes, way: Direction) -> None:
+        """Take the time that the link needs for a chunk."""
+        if way is Direction.OUT or not self._rate:
+            return
+        async with self._busy:
+            await anyio.sleep(len(chunk) / self._rate)
+
     async def _pump(
         self, pipe: Pipe, way: Direction, tasks: anyio.abc.TaskGroup
     ) -> None:
@@ -130,7 +152,8 @@
             source, sink = sink, source
         try:
             while True:
-                chunk = await source.receive(CHUNK)
+                chunk = await source.receive(self._most(way))
+                await self._carry(chunk, way)
                 if self.delay:
                     await anyio.sleep(self.delay)
                 if way not in pipe.deaf:
