--- a/src/tidegrade/session_proxy/_platform_watch.py
+++ b/src/tidegrade/session_proxy/_platform_watch.py
@@ -121,16 +121,19 @@
     def _turn(self) -> int:
         """Give this proxy's place among those that the platform answers.
 
-        Where it answers nobody, all keep trying in their usual places.
+        Whoever is not blind counts as one of them, also alone: six of seven
+        left the watch for 8 s to the one that took itself for none of them.
+        Where the platform answers nobody, all keep to their usual places.
         """
         if not self._peers.has_looked:
             # Else all that start together would watch, and tell all.
             return WATCHERS
         alive = self._peers.alive()
-        seeing = [p.beat.proxy for p in alive if _sees(p)]
-        if self.blind and seeing:
+        others = [p.beat.proxy for p in alive if _sees(p)]
+        if self.blind and others:
             return WATCHERS
-        others = seeing or [p.beat.proxy for p in alive]
+        if self.blind:
+            others = [p.beat.proxy for p in alive]
         # Else all that start together would watch until they are heard.
         starting = self._peers.starting()
         return core.rank(WATCHED, self._spot.proxy, [*others, *starting])
