Get a configuration from several proxies, and wait while bytes come

Cause: a question between proxies had 0.3 s for its answer, whatever its size. 330 KB take a link of 5 Mbit/s 0.5 s; the answer was dropped as it came and asked for again, of the same proxy, the first near one. The links of the three that had the version carried nothing else for ten seconds, their own feeds timed out, and 66 of 71 proxies never had it.

Change: a question for something large is given up after silence, not after a time; a link that carries bytes is no silent link. Documents travel compressed (302 to 22 KB). Who lacks one asks two others at a time, near ones first, chance deciding which, and takes the answer that comes first. The same limit stood on lists of endpoints, on heartbeats of a domain and on the configuration of the program before PostgreSQL; all wait for bytes now.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -72,6 +72,8 @@
 from tidegrade.core._row import Attempt
 from tidegrade.core._row import Fork
 from tidegrade.core._row import GroupRow
+from tidegrade.core._sources import Source
+from tidegrade.core._sources import Sources
 from tidegrade.core._state import LONGEST_DELAY
 from tidegrade.core._state import LONGEST_PAUSE
 from tidegrade.core._state import MachineSettings
@@ -168,6 +170,8 @@
     'SessionSetup',
     'SessionToken',
     'SetupJob',
+    'Source',
+    'Sources',
     'StartJob',
     'Statement',
     'StatusJob',
--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -15,6 +15,10 @@
 
 #: Time that a peer gets to answer a control question, in seconds.
 ASK_LIMIT = 0.3
+#: Silence after which a peer that gives something large is given up, in
+#: seconds: with twenty that ask at once, the first byte may wait behind
+#: the answers to all others.
+FETCH_SILENCE = 1.0
 #: An address that nobody named for this long is forgotten, in seconds.
 FORGET_AFTER = 60.0
 #: Intervals between heartbeats by which one that came through relays may
@@ -169,20 +173,30 @@
             return _links.Asked(sent=False)
         return await self._links.ask(address, body, limit)
 
+    async def fetch(
+        self, proxy: str, body: messages.PeerBody
+    ) -> messages.PeerBody | None:
+        """Ask one proxy for something large, and wait while it comes."""
+        address = self._roster.address_of(proxy)
+        if address is None:
+            return None
+        asked = await self._links.fetch(address, body, FETCH_SILENCE)
+        return asked.answer
+
     async def ask_any(
         self, body: messages.PeerBody
     ) -> messages.PeerBody | None:
         """Ask the other proxies in turn until one answers.
 
         Those with the newest configuration go first: two that both lack it
-        would else ask each other for ever.
+        would else ask each other for ever. What is asked for may be large.
         """
         peers = sorted(
             self.alive(), key=lambda p: p.beat.config_version, reverse=True
         )
         addresses = [peer.address for peer in peers]
         for address in addresses or self._roster.addresses():
-            asked = await self._links.ask(address, body, ASK_LIMIT)
+            asked = await self._links.fetch(address, body, ASK_LIMIT)
             if asked.answer is not None:
                 return asked.answer
         return None
--- a/src/tidegrade/daemon/_spread.py
+++ b/src/tidegrade/daemon/_spread.py
@@ -52,7 +52,8 @@
 #: Least pause between two questions to a proxy for the heartbeats of one
 #: domain, in seconds: about the pause between its digests, twice.
 ASK_PAUSE = 1.0
-#: Time that a proxy gets to give the heartbeats of a domain, in seconds.
+#: Silence after which a proxy that was asked for the heartbeats of a
+#: domain is given up, in seconds.
 ASK_LIMIT = 0.5
 
 
@@ -348,7 +349,7 @@
         if address is None:
             return
         asked_at = self._clock.now()
-        asked = await self._links.ask(
+        asked = await self._links.fetch(
             address, messages.AskDomain(question.domain), ASK_LIMIT
         )
         if isinstance(asked.answer, messages.Digest):
--- a/src/tidegrade/peers/_frames.py
+++ b/src/tidegrade/peers/_frames.py
@@ -8,6 +8,7 @@
 
 import os
 
+import anyio
 import anyio.abc
 import anyio.streams.buffered
 from cryptography import exceptions
@@ -51,22 +52,47 @@
         return self._count.to_bytes(NONCE_SIZE, 'big')
 
 
+class _Timed(anyio.abc.ByteReceiveStream):
+    """Bytes as they come, and when the last of them came."""
+
+    def __init__(self, stream: anyio.abc.ByteReceiveStream) -> None:
+        self._stream = stream
+        self.received_at = anyio.current_time()
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Give the next bytes."""
+        chunk = await self._stream.receive(max_bytes)
+        self.received_at = anyio.current_time()
+        return chunk
+
+    async def aclose(self) -> None:
+        """Close the stream below."""
+        await self._stream.aclose()
+
+
 class FrameStream:
     """Sends and receives whole payloads over a byte stream."""
 
     def __init__(
         self,
         stream: anyio.abc.ByteStream,
+        received: _Timed,
         reader: anyio.streams.buffered.BufferedByteReceiveStream,
         outgoing: Direction,
         incoming: Direction,
     ) -> None:
         self._stream = stream
+        self._received = received
         self._reader = reader
         self._outgoing = outgoing
         self._incoming = incoming
         self._lock = anyio.Lock()
 
+    @property
+    def received_at(self) -> float:
+        """Give when bytes came last, also of a frame that goes on."""
+        return self._received.received_at
+
     async def send(self, payload: bytes) -> None:
         """Send one payload."""
         async with self._lock:
@@ -92,7 +118,8 @@
     """Agree on keys; ``connects`` is true on the side that connected."""
     own_salt = os.urandom(SALT_SIZE)
     await stream.send(own_salt)
-    reader = anyio.streams.buffered.BufferedByteReceiveStream(stream)
+    received = _Timed(stream)
+    reader = anyio.streams.buffered.BufferedByteReceiveStream(received)
     other_salt = await reader.receive_exactly(SALT_SIZE)
     first, second = own_salt, other_salt
     if not connects:
@@ -104,10 +131,9 @@
         info=KEY_INFO,
     ).derive(shared_key)
     connector, acceptor = keys[:KEY_SIZE], keys[KEY_SIZE:]
-    if connects:
-        return FrameStream(
-            stream, reader, Direction(connector), Direction(acceptor)
-        )
+    outgoing, incoming = connector, acceptor
+    if not connects:
+        outgoing, incoming = acceptor, connector
     return FrameStream(
-        stream, reader, Direction(acceptor), Direction(connector)
+        stream, received, reader, Direction(outgoing), Direction(incoming)
     )
--- a/src/tidegrade/peers/_links.py
+++ b/src/tidegrade/peers/_links.py
@@ -35,6 +35,9 @@
 #: proxies talk to a few others only, and each link takes memory and
 #: probes at both ends.
 IDLE_LIMIT = 15.0
+#: Longest time that the answer to a question may take while bytes of it
+#: keep coming, in seconds: 2.5 MB on a link of 5 Mbit/s.
+FETCH_LIMIT = 4.0
 #: Connections that other proxies may hold to this one.
 MAX_INCOMING = 10_000
 
@@ -72,6 +75,7 @@
         self._connecting = True
         self._unheard_since: float | None = None
         self._conversation: anyio.CancelScope | None = None
+        self._frames: _frames.FrameStream | None = None
         self._probing = False
         self._send, self._receive = anyio.create_memory_object_stream[
             messages.PeerMessage
@@ -102,11 +106,24 @@
 
         An answer that comes later is dropped, never given to another.
         """
+        return await self._ask(body, time_limit, time_limit)
+
+    async def fetch(self, body: messages.PeerBody, silence: float) -> 'Asked':
+        """Ask for something large: wait while bytes keep coming.
+
+        The question ends once nothing has come for ``silence`` seconds. With
+        a bound on the whole, 0.3 s, no proxy behind a link of 5 Mbit/s ever
+        got a configuration of 330 KB.
+        """
+        return await self._ask(body, silence, FETCH_LIMIT)
+
+    async def _ask(
+        self, body: messages.PeerBody, silence: float, longest: float
+    ) -> 'Asked':
         asked_at = anyio.current_time()
         if not self.connected:
-            with anyio.move_on_after(min(time_limit, UP_LIMIT)):
+            with anyio.move_on_after(min(silence, UP_LIMIT)):
                 await self._up.wait()
-            time_limit -= anyio.current_time() - asked_at
         question = _Question()
         number = next(self._numbers)
         self._waiting[number] = question
@@ -115,12 +132,33 @@
                 return Asked(sent=False)
             if not self._queue(messages.PeerMessage(body, number)):
                 return Asked(sent=False)
-            with anyio.move_on_after(time_limit):
-                await question.done.wait()
+            await self._wait(question, silence, asked_at, longest)
             return Asked(sent=True, answer=question.answer)
         finally:
             self._waiting.pop(number, None)
 
+    async def _wait(
+        self,
+        question: '_Question',
+        silence: float,
+        asked_at: float,
+        longest: float,
+    ) -> None:
+        """Wait for an answer, until silence or the longest time is over."""
+        while not question.done.is_set():
+            until = max(asked_at, self._received_at()) + silence
+            left = min(until, asked_at + longest) - anyio.current_time()
+            if left <= 0:
+                return
+            with anyio.move_on_after(left):
+                await question.done.wait()
+
+    def _received_at(self) -> float:
+        """Give when bytes came last on this connection."""
+        if self._frames is None:
+            return float('-inf')
+        return self._frames.received_at
+
     def _queue(self, message: messages.PeerMessage) -> bool:
         self._used_at = anyio.current_time()
         if not (self.connected or self._connecting):
@@ -155,6 +193,7 @@
                 frames = await _frames.open_frames(
                     stream, self._key, connects=True
                 )
+            self._frames = frames
             self.connected = True
             self._unheard_since = None
             self._up.set()
@@ -183,14 +222,21 @@
         return since is not None and now - since >= PROBE_AFTER
 
     async def probe(self) -> None:
-        """Give the connection up if it has gone silent."""
+        """Give the connection up if it has gone silent.
+
+        The answer to a probe may wait behind one that takes long: bytes of
+        that are a sign of life as well.
+        """
         if self._probing or self._conversation is None:
             return
         conversation, self._probing = self._conversation, True
+        asked_at = anyio.current_time()
         try:
             asked = await self.ask(messages.Probe(), PROBE_LIMIT)
         finally:
             self._probing = False
+        if self._received_at() > asked_at:
+            return
         if asked.answer is None and conversation is self._conversation:
             logs.write(logs.LogEvent.PEER_SILENT, address=str(self._address))
             conversation.cancel()
@@ -336,6 +382,15 @@
             return Asked(sent=False)
         return await link.ask(body, time_limit)
 
+    async def fetch(
+        self, address: Address, body: messages.PeerBody, silence: float
+    ) -> 'Asked':
+        """Ask the proxy at an address, as :meth:`Link.fetch` does."""
+        link = self._link(address)
+        if link is None:
+            return Asked(sent=False)
+        return await link.fetch(body, silence)
+
     def drop(self, address: Address) -> None:
         """Close the link to an address that nobody uses any more."""
         link = self._links.pop(address, None)
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -10,6 +10,7 @@
 from tidegrade.codec import _structure
 from tidegrade import core
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _packing
 from tidegrade.peers import _wire
 
 
@@ -91,7 +92,7 @@
     content = wire.init('config')
     content.version = body.ref.version
     content.sha256 = body.ref.sha256
-    content.document = body.document
+    content.packed = _packing.pack(body.document) if body.document else b''
 
 
 def _put_forward(wire: typing.Any, body: messages.Forward) -> None:
@@ -295,6 +296,12 @@
     )
 
 
+def _document_of(part: typing.Any) -> bytes:
+    if part.packed:
+        return _packing.unpack(bytes(part.packed))
+    return bytes(part.document)
+
+
 def _ref_of(part: typing.Any) -> core.ConfigRef:
     return core.ConfigRef(part.version, part.sha256)
 
@@ -310,7 +317,7 @@
     ),
     'askConfig': lambda w: messages.AskConfig(_ref_of(w.askConfig)),
     'config': lambda w: messages.ConfigContent(
-        _ref_of(w.config), bytes(w.config.document)
+        _ref_of(w.config), _document_of(w.config)
     ),
     'forward': _get_forward,
     'forwarded': _get_forwarded,
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -83,7 +83,8 @@
 struct ConfigContent {
   version @0 :UInt64;
   sha256 @1 :Text;
-  document @2 :Data;     # empty in a question
+  document @2 :Data;     # of older proxies, not compressed
+  packed @3 :Data;       # compressed; empty in a question
 }
 
 struct Forward {
--- a/src/tidegrade/session_proxy/_endpoint_list.py
+++ b/src/tidegrade/session_proxy/_endpoint_list.py
@@ -107,7 +107,7 @@
         """Ask a watcher for a newer list; tell whether one answered."""
         for proxy in self._watch.watchers():
             question = messages.AskEndpoints(max(0, self._known.version))
-            answer = await self._peers.ask(proxy, question)
+            answer = await self._peers.fetch(proxy, question)
             if isinstance(answer, messages.EndpointNews):
                 self.heard(answer)
                 return self._known.version >= 0
--- a/src/tidegrade/session_proxy/_platform_watch.py
+++ b/src/tidegrade/session_proxy/_platform_watch.py
@@ -1,4 +1,4 @@
-"""Looking at the platform for all proxies, and learning from those who do.
+"""Who looks at the platform for all proxies.
 
 Calls to the platform are few and dear, so a few proxies look at it and the
 others ask them. What they have to tell goes with the heartbeats: the version
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-import random
 
 import anyio
 
@@ -28,13 +27,10 @@
 #: How long a proxy that the platform did not answer leaves the watch to
 #: others, in seconds, before it may try again.
 BLIND_FOR = 8.0
-#: Longest pause before a configuration is fetched from another failure
-#: domain, in seconds: meanwhile a neighbour may have got it.
-FAR_PAUSE = 0.5
 
 
 class PlatformWatch:
-    """Takes its turn at the watch, and fetches what others have."""
+    """Takes its turn at the watch, and gives others what it has."""
 
     def __init__(
         self,
@@ -42,16 +38,12 @@
         directory: ports.Directory,
         peers: _peers_task.PeersTask,
         version: Callable[[], int],
-        rng: random.Random,
     ) -> None:
         self._spot = spot
         self._directory = directory
         self._peers = peers
         self._version = version
-        self._rng = rng
         self._blind_until = float('-inf')
-        #: The newest version that was logged as heard of.
-        self._heard_of = 0
         self.turn = 0
 
     @property
@@ -65,12 +57,9 @@
         return anyio.current_time() < self._blind_until
 
     async def run(self) -> None:
-        """Keep up with who watches and with the newest version."""
+        """Keep up with who watches, until cancelled."""
         while True:
             self._take_turns()
-            newer = self._newer()
-            if newer is not None:
-                await self._fetch(newer)
             await anyio.sleep(LOOK)
 
     def watchers(self) -> list[str]:
@@ -138,68 +127,6 @@
         starting = self._peers.starting()
         return core.rank(WATCHED, self._spot.proxy, [*others, *starting])
 
-    # The configuration ----------------------------------------------------
-
-    def _newer(self) -> _roster.Peer | None:
-        """Give a proxy with a newer configuration, a neighbour if any."""
-        known = self._version()
-        having = [
-            peer
-            for peer in self._peers.alive()
-            if peer.beat.config_version > known
-        ]
-        return max(having, key=self._preference, default=None)
-
-    def _preference(self, peer: _roster.Peer) -> tuple[bool, int]:
-        return (self._is_near(peer), peer.beat.config_version)
-
-    def _is_near(self, peer: _roster.Peer) -> bool:
-        return peer.beat.domain == self._spot.domain
-
-    async def _fetch(self, peer: _roster.Peer) -> None:
-        """Get a newer configuration, unless it comes by itself."""
-        if not self._is_near(peer):
-            await anyio.sleep(self._rng.uniform(0, FAR_PAUSE))
-            peer = self._newer() or peer
-        known = self._version()
-        if peer.beat.config_version <= known:
-            return
-        proxy = peer.beat.proxy
-        version = peer.beat.config_version
-        self._log_heard_of(proxy, version, known)
-        question = messages.AskConfig(core.ConfigRef(version, ''))
-        asked_at = anyio.current_time()
-        answer = await self._peers.ask(proxy, question)
-        if not isinstance(answer, messages.ConfigContent):
-            logs.write_bounded(
-                logs.LogEvent.CONFIG_NOT_GOT,
-                peer=proxy,
-                version=version,
-                known_version=known,
-                took_ms=round((anyio.current_time() - asked_at) * 1000),
-            )
-            return
-        if answer.ref.version <= known or not answer.document:
-            return
-        logs.write(
-            logs.LogEvent.CONFIG_FROM_PEER,
-            peer=proxy,
-            version=answer.ref.version,
-            known_version=known,
-        )
-        self._directory.offer(answer.document)
-
-    def _log_heard_of(self, proxy: str, version: int, known: int) -> None:
-        if version <= self._heard_of:
-            return
-        self._heard_of = version
-        logs.write(
-            logs.LogEvent.CONFIG_HEARD_OF,
-            peer=proxy,
-            version=version,
-            known_version=known,
-        )
-
 
 def _sees(peer: _roster.Peer) -> bool:
     return not peer.beat.blind and not peer.beat.draining
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -22,6 +22,7 @@
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 from tidegrade.session_proxy import _accounts
+from tidegrade.session_proxy import _config_fetch
 from tidegrade.session_proxy import _endpoint_list
 from tidegrade.session_proxy import _groups
 from tidegrade.session_proxy import _homes
@@ -128,6 +129,12 @@
             self._outside.directory,
             peers,
             self._config_version,
+        )
+        fetch = _config_fetch.ConfigFetch(
+            spot,
+            self._outside.directory,
+            peers,
+            self._config_version,
             deps.rng,
         )
         endpoints = _endpoint_list.EndpointListTask(
@@ -159,6 +166,7 @@
             tasks.start_soon(self._members.run)
             tasks.start_soon(self._evidence.run)
             tasks.start_soon(self._watch.run)
+            tasks.start_soon(fetch.run)
             tasks.start_soon(self._watch_catalogue)
             tasks.start_soon(endpoints.run)
             tasks.start_soon(self._watch_signals)
--- a/tests/daemon/test_peers_task.py
+++ b/tests/daemon/test_peers_task.py
@@ -35,7 +35,7 @@
     def post(self, address: _links.Address, body: messages.PeerBody) -> bool:
         return True
 
-    async def ask(self, address, body, limit) -> _links.Asked:
+    async def fetch(self, address, body, silence) -> _links.Asked:
         ref = core.ConfigRef(2, address.host)
         return _links.Asked(True, messages.ConfigContent(ref, b''))
 
--- a/tests/session_proxy/test_configuration_spreads.py
+++ b/tests/session_proxy/test_configuration_spreads.py
@@ -26,6 +26,7 @@
 from tidegrade.daemon import _peers_task
 from tidegrade.daemon import _roster
 from tidegrade.peers import _messages as messages
+from tidegrade.session_proxy import _config_fetch
 from tidegrade.session_proxy import _platform_watch
 
 pytestmark = pytest.mark.anyio
@@ -107,6 +108,7 @@
     directory: Directory
     peers: _peers_task.PeersTask
     watch: _platform_watch.PlatformWatch
+    fetch: _config_fetch.ConfigFetch
     mute: bool = False
 
     async def handle(self, body: messages.PeerBody):
@@ -158,9 +160,15 @@
             directory,
             peers,
             lambda: directory.version,
+        )
+        fetch = _config_fetch.ConfigFetch(
+            _roster.Spot(name, domain),
+            directory,
+            peers,
+            lambda: directory.version,
             rng,
         )
-        proxy = Proxy(name, domain, directory, peers, watch)
+        proxy = Proxy(name, domain, directory, peers, watch, fetch)
         made.append(proxy)
         peers.has_looked = True
         peers.beat_of = lambda: proxy.beat(relay.port)
@@ -177,6 +185,7 @@
                     proxy.peers.heard(other.beat(port))
         for proxy in self.proxies:
             self._tasks.start_soon(proxy.watch.run)
+            self._tasks.start_soon(proxy.fetch.run)
 
 
 @pytest.fixture
