Let each proxy show how old its configuration's proof is, and read without one

Cause: the class of both faults: most proxies rely on three that read the configuration, and on questions to those who have it, and could not see whether either works. Nothing bounded how long they trusted.

Ruled out: more watchers, or a shorter leave of the watch: both only make the next gap rarer.

Change: heartbeats and digests carry how long ago the sender's configuration was known to be the newest: the readers' from their readings, the others' from whoever has the same version. A proxy that has lacked a newer version for 0.3 of the time in which it must be in force, or was shown nothing for 0.65 (the next in turn) or 0.8 of it (all others), reads the row itself, with pauses that double if in vain. Event 1211 tells, and 1605 how old the proof was when a database was said not to exist.

Conclusion: kept as the bound of last resort; it costs no calls while somebody watches.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -8,6 +8,7 @@
 
 from tidegrade.core._adoption import Adoption
 from tidegrade.core._adoption import ConfigRef
+from tidegrade.core._config_age import ConfigAge
 from tidegrade.core._detector import is_down
 from tidegrade.core._detector import Opinion
 from tidegrade.core._events import CloseConn
@@ -112,6 +113,7 @@
     'Code',
     'Command',
     'CommitJob',
+    'ConfigAge',
     'ConfigChanged',
     'ConfigRef',
     'ConnClosed',
--- a/src/tidegrade/daemon/_roster.py
+++ b/src/tidegrade/daemon/_roster.py
@@ -24,7 +24,8 @@
 
     ``changed_at`` is when this proxy learned that its content differs from
     the one before; a relay passes it on for a while from then.
-    A ``relayed`` heartbeat came through others, and may be older.
+    A ``relayed`` heartbeat came through others, and may be older. At
+    ``config_seen_at`` its configuration was known to be the newest.
     """
 
     beat: messages.Heartbeat
@@ -32,6 +33,7 @@
     changed_at: float
     revision: int
     relayed: bool = False
+    config_seen_at: float = float('-inf')
 
     @property
     def address(self) -> _links.Address:
@@ -94,12 +96,14 @@
         if known is None:
             peer = Peer(beat, at, now, beat.revision(), relayed)
             self._add(peer)
+            _note_config(peer, beat.config_age, at)
             return peer
         if known.heard_at >= at:
             return None
         self._refresh(known, at, relayed)
         if known.beat != beat:
             self._change(known, beat, now)
+        _note_config(known, beat.config_age, at)
         return known
 
     def refreshed(self, proxy: str, revision: int, at: float) -> None:
@@ -138,11 +142,19 @@
                 self._refresh(peer, at, True)
         return True
 
-    def has_config(self, proxy: str, version: int) -> None:
-        """Note which version of the configuration a proxy has in force."""
+    def has_config(
+        self, proxy: str, version: int, age: float | None, at: float
+    ) -> None:
+        """Note which configuration a proxy has in force.
+
+        It was known to be the newest ``age`` seconds before ``at``.
+        """
         known = self._peers.get(proxy)
-        if known is not None and known.beat.config_version < version:
+        if known is None or known.beat.config_version > version:
+            return
+        if known.beat.config_version < version:
             known.beat = attrs.evolve(known.beat, config_version=version)
+        _note_config(known, age, at)
 
     def forget(self, oldest: float) -> None:
         """Forget the proxies that were not heard since ``oldest``."""
@@ -281,6 +293,11 @@
         return frozenset(self._newest.keys() | listed)
 
 
+def _note_config(peer: Peer, age: float | None, at: float) -> None:
+    if age is not None:
+        peer.config_seen_at = max(peer.config_seen_at, at - age)
+
+
 def revisions_of(peers: Iterable[Peer]) -> int:
     """Join the revisions of heartbeats, so that their order is no matter."""
     joined = 0
--- a/src/tidegrade/daemon/_spread.py
+++ b/src/tidegrade/daemon/_spread.py
@@ -207,6 +207,7 @@
             tuple(roll.closed() for roll in rolls.values() if roll.count),
             self._spot.proxy,
             own.config_version,
+            own.config_age,
         )
 
     def _send_inside(self, body: messages.PeerBody) -> None:
@@ -258,7 +259,9 @@
         for entry in digest.alive:
             at = now - entry.age
             self._roster.refreshed(entry.proxy, entry.revision, at)
-        self._roster.has_config(digest.sender, digest.config_version)
+        self._roster.has_config(
+            digest.sender, digest.config_version, digest.config_age, now
+        )
         self._answer_stranger(digest)
         named = digest.named()
         for roll in digest.rolls:
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -55,6 +55,11 @@
         logging.WARNING,
         'another proxy did not give its configuration',
     )
+    CONFIG_UNPROVEN = (
+        1211,
+        logging.WARNING,
+        'nobody shows that the configuration is the newest; it is read',
+    )
     TERM_SEEN = (1301, logging.INFO, 'a group has a new term')
     TERM_ENDING = (1302, logging.WARNING, 'this proxy ends a term')
     TERM_BEGUN = (1303, logging.WARNING, 'this proxy began a term')
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -13,6 +13,9 @@
 from tidegrade.peers import _packing
 from tidegrade.peers import _wire
 
+#: Largest age that is sent as such, in milliseconds; it fits 32 bits.
+MAX_AGE_MS = 1_000_000_000
+
 
 class Malformed(Exception):
     """A peer's message can't be read."""
@@ -51,6 +54,7 @@
     beat.draining = body.draining
     beat.passOn = body.pass_on
     beat.blind = body.blind
+    beat.configAge = _config_age_ms(body.config_age)
     opinions = beat.init('opinions', len(body.opinions))
     for slot, opinion in zip(opinions, body.opinions, strict=True):
         slot.site = opinion.key.site
@@ -161,6 +165,7 @@
         slot.ageMs = math.ceil(roll.age * 1000)
     digest.sender = body.sender
     digest.configVersion = body.config_version
+    digest.configAge = _config_age_ms(body.config_age)
 
 
 def _put_ask_domain(wire: typing.Any, body: messages.AskDomain) -> None:
@@ -236,6 +241,7 @@
         ),
         sender=digest.sender,
         config_version=digest.configVersion,
+        config_age=_config_age_of(digest.configAge),
     )
 
 
@@ -249,6 +255,7 @@
         draining=beat.draining,
         pass_on=beat.passOn,
         blind=beat.blind,
+        config_age=_config_age_of(beat.configAge),
         opinions=tuple(
             messages.GroupOpinion(_key_of(o), o.term, o.primaryDown)
             for o in beat.opinions
@@ -296,6 +303,16 @@
     )
 
 
+def _config_age_ms(age: float | None) -> int:
+    if age is None:
+        return 0
+    return min(math.ceil(age * 1000), MAX_AGE_MS) + 1
+
+
+def _config_age_of(age_ms: int) -> float | None:
+    return (age_ms - 1) / 1000 if age_ms else None
+
+
 def _document_of(part: typing.Any) -> bytes:
     if part.packed:
         return _packing.unpack(bytes(part.packed))
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -33,7 +33,9 @@
 
     ``host`` and ``port`` are where it takes peers' connections. With
     ``pass_on`` it asks the receiver to tell others; ``blind`` says that
-    the platform does not answer it.
+    the platform does not answer it. ``config_age`` is how long ago its
+    configuration was known to be the newest, in seconds; None if that isn't
+    known. It changes all the time, and is no part of what is compared.
     """
 
     proxy: str
@@ -45,6 +47,7 @@
     opinions: tuple[GroupOpinion, ...] = ()
     pass_on: bool = False
     blind: bool = False
+    config_age: float | None = attrs.field(default=None, eq=False)
 
     def revision(self) -> int:
         """Give a number of 32 bits that changes with the content.
@@ -194,7 +197,8 @@
 
     ``news`` are heartbeats in full, ``alive`` those that were heard a
     while ago, one by one, and ``rolls`` all others, a domain each; the
-    sender itself is among them. ``config_version`` is the sender's.
+    sender itself is among them. ``config_version`` and ``config_age`` are
+    the sender's, as in its heartbeat.
     """
 
     news: tuple[AgedHeartbeat, ...] = ()
@@ -202,6 +206,7 @@
     rolls: tuple[Roll, ...] = ()
     sender: str = ''
     config_version: int = 0
+    config_age: float | None = None
 
     def named(self) -> frozenset[str]:
         """Give the proxies that no roll stands for."""
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -30,6 +30,8 @@
   port @6 :UInt16;
   passOn @7 :Bool;       # asks the receiver to tell others
   blind @8 :Bool;        # the platform does not answer this proxy
+  configAge @9 :UInt32;  # ms since its configuration was the newest, plus
+                         # one; 0: not known
 }
 
 struct AgedHeartbeat {
@@ -57,6 +59,7 @@
   rolls @2 :List(Roll);
   sender @3 :Text;
   configVersion @4 :UInt64;  # that the sender has in force
+  configAge @5 :UInt32;      # as in its heartbeat
 }
 
 struct EndpointList {
--- a/src/tidegrade/ports/__init__.py
+++ b/src/tidegrade/ports/__init__.py
@@ -18,6 +18,7 @@
 from tidegrade.ports._platform import Vm
 from tidegrade.ports._platform import VmList
 from tidegrade.ports._platform import WriteProblem
+from tidegrade.ports._sessions import ConfigSeen
 from tidegrade.ports._sessions import Directory
 from tidegrade.ports._sessions import Door
 from tidegrade.ports._sessions import EndpointEntry
@@ -33,6 +34,7 @@
     'CallReply',
     'Callers',
     'Clock',
+    'ConfigSeen',
     'ConnectProblem',
     'Directory',
     'Door',
--- a/src/tidegrade/ports/_sessions.py
+++ b/src/tidegrade/ports/_sessions.py
@@ -36,6 +36,17 @@
     entries: tuple[EndpointEntry, ...]
 
 
+@attrs.frozen
+class ConfigSeen:
+    """The configuration that the platform showed as the newest one.
+
+    ``age`` is how long ago it did, in seconds, or more.
+    """
+
+    version: int
+    age: float
+
+
 class Directory(typing.Protocol):
     """The platform's list of endpoints and the accepted configuration."""
 
@@ -56,6 +67,13 @@
     def answers(self) -> bool:
         """Tell whether the platform answered when it was last asked."""
 
+    @property
+    def seen(self) -> ConfigSeen | None:
+        """Give what the platform showed this proxy last, if anything."""
+
+    def read_now(self) -> None:
+        """Read the configuration once, also if this proxy doesn't watch."""
+
     @property
     def document(self) -> bytes:
         """Give the newest configuration as it is stored, for peers."""
--- a/src/tidegrade/session_proxy/_platform_watch.py
+++ b/src/tidegrade/session_proxy/_platform_watch.py
@@ -38,11 +38,15 @@
         directory: ports.Directory,
         peers: _peers_task.PeersTask,
         version: Callable[[], int],
+        clock: ports.Clock,
+        config_within: float,
     ) -> None:
         self._spot = spot
         self._directory = directory
         self._peers = peers
         self._version = version
+        self._clock = clock
+        self._age = core.ConfigAge(config_within)
         self._blind_until = float('-inf')
         self.turn = 0
 
@@ -60,6 +64,7 @@
         """Keep up with who watches, until cancelled."""
         while True:
             self._take_turns()
+            self._check_age()
             await anyio.sleep(LOOK)
 
     def watchers(self) -> list[str]:
@@ -80,6 +85,48 @@
         ref = core.ConfigRef(self._version(), question.ref.sha256)
         return messages.ConfigContent(ref, self._directory.document)
 
+    def config_age(self) -> float | None:
+        """Give how long ago the configuration was known to be the newest.
+
+        None if that isn't known; in seconds.
+        """
+        now = self._clock.now()
+        self._note_ages(now)
+        return self._age.age(now)
+
+    # Whether what is in force is the newest -------------------------------
+
+    def _note_ages(self, now: float) -> None:
+        """Take in what the platform and the others showed."""
+        seen = self._directory.seen
+        if seen is not None:
+            self._age.told(seen.version, now - seen.age, now)
+        for peer in self._peers.alive():
+            at = peer.config_seen_at
+            if at > float('-inf'):
+                self._age.told(peer.beat.config_version, at, now)
+        self._age.adopted(self._version())
+
+    def _check_age(self) -> None:
+        """Read the platform if nobody shows what the newest version is.
+
+        Whatever goes wrong with the watch and with the questions to others,
+        the configuration is in force in time wherever the platform answers.
+        """
+        now = self._clock.now()
+        self._note_ages(now)
+        early = not self.blind and self.turn < 2 * WATCHERS
+        if not self._age.must_read(early, now):
+            return
+        age = self._age.age(now)
+        logs.write(
+            logs.LogEvent.CONFIG_UNPROVEN,
+            known_version=self._version(),
+            age_ms=None if age is None else round(age * 1000),
+            turn=self.turn,
+        )
+        self._directory.read_now()
+
     # Turns ----------------------------------------------------------------
 
     def _take_turns(self) -> None:
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -94,6 +94,7 @@
                 database=database,
                 caller=tenant,
                 config_version=self._catalogue.version,
+                config_age_ms=self._config_age_ms(),
             )
             return result.Err(core.Code.NOT_FOUND)
         session = sessions.Session(database, tenant, self._session_deps)
@@ -129,6 +130,8 @@
             self._outside.directory,
             peers,
             self._config_version,
+            deps.clock,
+            self._cfg.config_within_s,
         )
         fetch = _config_fetch.ConfigFetch(
             spot,
@@ -334,6 +337,11 @@
         """Give the version in force; 0 before the first."""
         return self._catalogue.version if self._catalogue else 0
 
+    def _config_age_ms(self) -> int | None:
+        """Give how long ago the configuration was known to be the newest."""
+        age = self._watch.config_age()
+        return None if age is None else round(age * 1000)
+
     def _learn_endpoints(
         self, entries: tuple[ports.EndpointEntry, ...]
     ) -> None:
@@ -418,6 +426,7 @@
             config_version=self._config_version(),
             draining=self._stopping.is_set(),
             blind=self._watch.blind,
+            config_age=self._watch.config_age(),
             opinions=tuple(
                 g.opinion() for g in self._groups.values() if g.serving
             ),
--- a/src/tidegrade/session_proxy/_settings.py
+++ b/src/tidegrade/session_proxy/_settings.py
@@ -14,9 +14,11 @@
     """What one process of the session program must know.
 
     ``host`` and ``peer_port`` are where other proxies reach this one.
-    Times are in seconds. Endpoints have all registered once their list has
-    not grown for ``settle_s``. On a request to stop, the balancer is given
-    ``unready_s`` to notice, and all must have ended after ``grace_s``.
+    Times are in seconds. A configuration must be in force everywhere
+    ``config_within_s`` after its acceptance. Endpoints have all registered
+    once their list has not grown for ``settle_s``. On a request to stop, the
+    balancer is given ``unready_s`` to notice, and all must have ended after
+    ``grace_s``.
     """
 
     name: str
@@ -24,6 +26,7 @@
     host: str
     peer_port: int
     grace_s: float
+    config_within_s: float = 3.0
     unready_s: float = 2.2
     heartbeat_s: float = 0.5
     alive_s: float = 1.6
--- a/tests/session_proxy/test_configuration_spreads.py
+++ b/tests/session_proxy/test_configuration_spreads.py
@@ -26,6 +26,7 @@
 from tidegrade.daemon import _peers_task
 from tidegrade.daemon import _roster
 from tidegrade.peers import _messages as messages
+from tidegrade import ports
 from tidegrade.session_proxy import _config_fetch
 from tidegrade.session_proxy import _platform_watch
 
@@ -82,13 +83,20 @@
 class Directory:
     """The platform as one proxy sees it, and what it was offered.
 
-    It answers nobody who watches while ``fails``.
+    It answers nobody who watches while ``fails``. Who reads it gets what is
+    ``stored``, if anything.
     """
 
     document: bytes = b''
     answers: bool = True
     fails: bool = False
     version: int = 1
+    seen: ports.ConfigSeen | None = None
+    stored: bytes = b''
+
+    def read_now(self) -> None:
+        if self.stored:
+            self.offer(self.stored)
 
     def watch(self, watching: bool) -> None:
         if watching and self.fails:
@@ -131,6 +139,7 @@
             self.directory.version,
             False,
             blind=self.watch.blind,
+            config_age=self.watch.config_age(),
         )
 
 
@@ -160,6 +169,8 @@
             directory,
             peers,
             lambda: directory.version,
+            deps.clock,
+            IN_FORCE_WITHIN,
         )
         fetch = _config_fetch.ConfigFetch(
             _roster.Spot(name, domain),
@@ -242,3 +253,23 @@
             await anyio.sleep(0.05)
         while not lucky.watch.watching:
             await anyio.sleep(0.05)
+
+
+async def test_who_is_shown_nothing_reads_for_itself(fleet, document):
+    """No watcher hears of the version, and none notices that."""
+    proxies = [await fleet.add('a') for _ in range(7)]
+    await fleet.meet()
+    async with in_force(proxies, IN_FORCE_WITHIN):
+        for proxy in proxies:
+            proxy.directory.stored = document
+
+
+async def test_who_is_shown_what_is_newest_reads_nothing(fleet, document):
+    """One proxy reads the platform, and shows the others that it does."""
+    proxies = [await fleet.add('a') for _ in range(7)]
+    proxies[0].directory.seen = ports.ConfigSeen(1, 0.5)
+    for proxy in proxies[1:]:
+        proxy.directory.stored = document
+    await fleet.meet()
+    await anyio.sleep(IN_FORCE_WITHIN)
+    assert {proxy.directory.version for proxy in proxies} == {1}
