--- a/src/tidegrade/adapters/_metrics.py
+++ b/src/tidegrade/adapters/_metrics.py
@@ -44,6 +44,10 @@
         self.config_version = self._gauge(
             'tidegrade_config_version', 'Configuration version in force.'
         )
+        self.config_age = self._gauge(
+            'tidegrade_config_age_seconds',
+            'Time since the configuration was known to be the newest.',
+        )
         self.connections = self._gauge(
             'tidegrade_endpoint_connections',
             'Connections held, by site, group and endpoint.',
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -316,6 +316,9 @@
                 self._metrics.connections.set(
                     {**labels, 'endpoint': name}, machine.conn_count(name)
                 )
+        age = self._watch.config_age()
+        if age is not None:
+            self._metrics.config_age.set({}, age)
         content, _ = self._metrics.render('')
         return content
 
