Refuse entries, rows and configurations that can't be read one by one

Cause: the readers of the list of instances, of our own table's rows and of the configuration took what they found for well formed. Other writers may leave entries with fields missing or of another type, states that nobody named, or bytes that are no JSON.

Ruled out: catching everything around a whole list: one bad row would then hide all others.

Change: each entry is decoded by itself into an entry or a reason; one that is refused names no endpoint, as if it had lapsed, and is logged as it begins and ceases (1503, 1504), not at each reading. Configurations give their errors (1203) and the former one stays. Rows and registrations coerce nothing. The decoders of entries and of configurations are modules of their own; the unused imports of the directory are gone. The test that every event is written also looks at the adapters, which write some.

Before: of 25 bad entries 16 ended the process and 9 were used (measured for the issue); a row that is no object ended it too (the new test, run before).

Lives of one id (born) are read and checked only.

--- a/src/tidegrade/codec/_rows.py
+++ b/src/tidegrade/codec/_rows.py
@@ -5,6 +5,7 @@
 import orjson
 import result
 
+from tidegrade.codec import _structure
 from tidegrade import core
 
 _converter = cattrs.Converter()
@@ -42,10 +43,10 @@
 
 def decode_registered(value: bytes) -> result.Result[Registered, str]:
     """Read a proxy's entry."""
-    try:
-        return result.Ok(_converter.structure(orjson.loads(value), Registered))
-    except (ValueError, cattrs.BaseValidationError) as exc:
-        return result.Err(f'a registration is malformed: {exc}')
+    read = _structure.structure_lenient(value, Registered)
+    return read.map_err(
+        lambda errors: f'a registration is malformed: {"; ".join(errors)}'
+    )
 
 
 def encode_row(row: core.GroupRow) -> bytes:
@@ -57,9 +58,7 @@
 
 def decode_row(value: bytes) -> result.Result[core.GroupRow, str]:
     """Read a group's row."""
-    try:
-        return result.Ok(
-            _converter.structure(orjson.loads(value), core.GroupRow)
-        )
-    except (ValueError, cattrs.BaseValidationError) as exc:
-        return result.Err(f'a group row is malformed: {exc}')
+    read = _structure.structure_lenient(value, core.GroupRow)
+    return read.map_err(
+        lambda errors: f'a group row is malformed: {"; ".join(errors)}'
+    )
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -86,6 +86,16 @@
     )
     ENDPOINT_LEAVING = (1501, logging.INFO, 'endpoints are leaving')
     CONNECT_FAILED = (1502, logging.WARNING, 'an endpoint was not reached')
+    ENTRY_REFUSED = (
+        1503,
+        logging.WARNING,
+        'an entry in the list of endpoints names none',
+    )
+    ENTRY_TAKEN_AGAIN = (
+        1504,
+        logging.INFO,
+        'an entry is refused no longer, or has gone',
+    )
     REQUEST_FAILED = (1601, logging.ERROR, 'a request met a fault of ours')
     ANSWERED = (1603, logging.INFO, 'a request was answered')
     REFUSED = (1604, logging.WARNING, 'a request was refused')
--- a/tests/adapters/test_logs.py
+++ b/tests/adapters/test_logs.py
@@ -8,7 +8,9 @@
 
 from tidegrade import logs
 
-PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'EVENTS.md'
+ROOT = pathlib.Path(__file__).parents[2]
+PAGE = ROOT / 'docs' / 'EVENTS.md'
+PLATFORM = ROOT / 'platform'
 ROW = re.compile(r'^\| (\d{4}) \| (\w+) \| ([^|]+) \|', re.M)
 
 
@@ -30,9 +32,11 @@
 
 
 def test_every_event_is_written_somewhere():
-    package = pathlib.Path(logs.__file__).parents[1]
+    # Adapters of the users' platform log what they alone see.
+    packages = [pathlib.Path(logs.__file__).parents[1], PLATFORM]
     source = ''.join(
         path.read_text()
+        for package in packages
         for path in package.rglob('*.py')
         if path.name != 'logs.py'
     )
--- /dev/null
+++ b/tests/codec/test_rows.py
@@ -0,0 +1,64 @@
+"""Rows of the table, as another writer may have left them."""
+
+import json
+
+from hypothesis import example
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from tidegrade.codec import _rows
+from tidegrade import core
+
+ROW = core.GroupRow(
+    3,
+    'a:1',
+    frozenset({'a:1', 'b:1'}),
+    (core.Fork(2, 7),),
+    attempt=core.Attempt('x', 'p', 4),
+)
+ENTRY = _rows.Registered('a', '10.0.0.1', 7440, 'p.0')
+
+#: Values of JSON, with the names that rows have.
+NAMES = st.sampled_from(
+    ['term', 'primary', 'members', 'forks', 'attempt', 'id', 'domain', 'port']
+)
+values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(NAMES, inner, max_size=5)
+    ),
+    max_leaves=10,
+)
+
+
+def test_rows_come_back_as_they_were():
+    assert _rows.decode_row(_rows.encode_row(ROW)).unwrap() == ROW
+    raw = _rows.encode_registered(ENTRY)
+    assert _rows.decode_registered(raw).unwrap() == ENTRY
+
+
+@given(values)
+@example(None)
+@example(7)
+def test_any_value_is_a_row_or_a_reason(value):
+    """Values that are no object ended the process that read them."""
+    raw = json.dumps(value).encode()
+    for read in (_rows.decode_row(raw), _rows.decode_registered(raw)):
+        assert read.is_ok() or read.unwrap_err()
+
+
+@given(st.binary(max_size=80))
+def test_any_bytes_are_a_reason(raw):
+    assert _rows.decode_row(raw).is_err()
+    assert _rows.decode_registered(raw).is_err()
+
+
+@pytest.mark.parametrize('port', ('7440', 7440.0, True, None))
+def test_nothing_is_coerced(port):
+    plain = {**json.loads(_rows.encode_registered(ENTRY)), 'port': port}
+    assert _rows.decode_registered(json.dumps(plain).encode()).is_err()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 import pytest
 from tidegrade_platform import _callers
-from tidegrade_platform import _directory
+from tidegrade_platform import _configs
 from tidegrade_platform import _lines
 from tidegrade_platform import _settings
 
@@ -82,7 +82,7 @@
         'services': [{'name': 'svc', 'max_conns': 23}],
         'limits': {'tx_idle_ms': 3000},
     }
-    found = _directory.decode_config(json.dumps(config).encode())
+    found = _configs.decode_config(json.dumps(config).encode()).unwrap()
     assert found.version == 7
     assert found.routes['db1'].max_age == max_age
     assert found.routes['db1'].own_writes is own_writes
--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,197 @@
+"""Entries of instances that another writer left.
+
+Of 25 lists with one sound entry and one that was not, 16 ended the process
+of every proxy that read them, at each start anew, and 9 named the bad entry
+as an instance to use: one row was an outage of all.
+"""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+import result
+from tidegrade_platform import _directory
+from tidegrade_platform import _entries
+from tidegrade_platform import _store
+
+from tidegrade import logs
+
+pytestmark = pytest.mark.anyio
+
+SOUND = {
+    'service': 'svc-1',
+    'address': '10.0.0.1:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 3,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+    'db_role': 'replica',
+    'seq_no': 4,
+}
+#: A life's start, in milliseconds of Unix time.
+BORN = 1_790_000_000_000
+
+#: What makes a sound entry bad, field by field.
+CHANGES = [
+    {'service': None},
+    {'service': 7},
+    {'service': ''},
+    {'address': None},
+    {'address': 'nowhere'},
+    {'address': 'a.host.name:80'},
+    {'address': '10.0.0.1:70000'},
+    {'address': '10.0.0.1:-1'},
+    {'address': '10.0.0.1:0'},
+    {'address': '10.0.0.1:1e3'},
+    {'address': ['10.0.0.1', 80]},
+    {'zone': {'name': 'a'}},
+    {'zone': None},
+    {'version': 1},
+    {'slots': '3'},
+    {'slots': 0},
+    {'slots': -3},
+    {'slots': True},
+    {'slots': 3.0},
+    {'slots': 10**400},
+    {'state': 'resting'},
+    {'state': None},
+    {'db_role': 'observer'},
+    {'db_role': 2},
+    {'cold_remaining_ms': 'soon'},
+    {'seq_no': 'many'},
+    {'born': 'yesterday'},
+    {'born': 1.5},
+    {'born': -1},
+    {'born': None},
+    {'born': True},
+]
+#: Whole values that are no entry at all.
+VALUES = [
+    b'',
+    b'\xff\xfe\x00',
+    b'{',
+    b'[]',
+    b'null',
+    b'7',
+    b'"ready"',
+    b'{}',
+    b'[' * 60_000,
+    b'{"service": ' * 5_000,
+    b'{"slots": ' + b'9' * 60_000 + b'}',
+]
+BAD = [json.dumps({**SOUND, **change}).encode() for change in CHANGES] + [
+    json.dumps({k: v for k, v in SOUND.items() if k != name}).encode()
+    for name in SOUND
+]
+BAD += VALUES
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+class Store:
+    """Gives the rows that it was given."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes] = {}
+
+    async def snapshot(self, table):
+        rows = [_store.Row(key, raw, 1) for key, raw in self.rows.items()]
+        return result.Ok(_store.Snapshot(rows, 1))
+
+
+@pytest.fixture
+def store() -> Store:
+    return Store()
+
+
+@pytest.fixture
+def directory(store) -> _directory.Directory:
+    return _directory.Directory(store, 3.0)
+
+
+@pytest.fixture
+def logged(monkeypatch) -> list[tuple[logs.LogEvent, dict]]:
+    """Collect what is logged."""
+    lines: list[tuple[logs.LogEvent, dict]] = []
+    for name in ('write', 'write_bounded'):
+        monkeypatch.setattr(
+            logs, name, lambda event, **fields: lines.append((event, fields))
+        )
+    return lines
+
+
+async def listed(directory, store, rows) -> list[str]:
+    """Give the ids that a list of these rows names."""
+    store.rows = rows
+    found = (await directory.endpoints()).unwrap()
+    return [entry.id for entry in found.entries]
+
+
+@pytest.mark.parametrize('bad', BAD, ids=lambda raw: raw[:40].decode('latin1'))
+async def test_a_bad_entry_names_nobody_and_the_others_hold(
+    directory, store, bad
+):
+    rows = {'i-0': bad, 'i-1': json.dumps(SOUND).encode(), 'i-2': bad}
+    assert await listed(directory, store, rows) == ['i-1']
+
+
+@pytest.mark.parametrize(
+    'change',
+    [{}, {'born': BORN}, {'state': 'draining'}, {'of_next_year': [1]}],
+    ids=str,
+)
+async def test_a_sound_entry_is_taken(directory, store, change):
+    rows = {'i-1': json.dumps({**SOUND, **change}).encode()}
+    assert await listed(directory, store, rows) == ['i-1']
+
+
+async def test_an_entry_that_becomes_unreadable_names_nobody(directory, store):
+    rows = {'i-1': json.dumps(SOUND).encode()}
+    assert await listed(directory, store, rows) == ['i-1']
+    assert await listed(directory, store, {'i-1': b'\xff'}) == []
+    assert await listed(directory, store, rows) == ['i-1']
+
+
+async def test_a_bad_entry_is_logged_as_it_comes_and_goes(
+    directory, store, logged
+):
+    """Not at each reading: a hundred rows are read every two seconds."""
+    bad = {f'i-{number}': b'{' for number in range(100)}
+    for _ in range(50):
+        await listed(directory, store, bad)
+    assert len(logged) == 100
+    await listed(directory, store, {'i-0': json.dumps(SOUND).encode()})
+    events = [event for event, _ in logged]
+    assert events[:100] == [logs.LogEvent.ENTRY_REFUSED] * 100
+    assert events[100:] == [logs.LogEvent.ENTRY_TAKEN_AGAIN] * 100
+
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@given(st.sampled_from([*sorted(SOUND), 'born']), json_values)
+def test_any_value_of_any_field_is_an_entry_or_a_reason(name, value):
+    raw = json.dumps({**SOUND, name: value}).encode()
+    read = _entries.decode_entry('i-1', raw)
+    assert read.is_ok() or read.unwrap_err()
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_an_entry_or_a_reason(raw):
+    assert _entries.decode_entry('i-1', raw).is_err()
