Take answers of the store and of instances that can't be read as failures

Cause: a response of the store without its fields, a value that is no base64, a report without a row or a greeting with no position raised out of the adapters and ended the process.

Change: responses are decoded into a page or a reason; a write whose response can't be read has an unknown outcome, which the callers settle by reading; a report or greeting that can't be read ends its connection.

Before: the test of a report without a row ends with an IndexError that nothing takes; the bodies without fields with KeyError (seen in the code, not run one by one). After: the tests of this commit pass.

--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -19,16 +19,18 @@
 
 
 @pytest.fixture
-async def asked():
+async def answered():
     """Give a function that asks STATUS of an instance with set answers."""
 
-    async def report(row: str, ready: str) -> core.EndpointReport:
+    async def outcome_of(row: str, ready: str) -> core.JobOutcome:
         async def serve(stream: anyio.abc.SocketStream) -> None:
             async with stream:
                 await stream.receive()
                 await stream.send(b'READY I 1.5\r\n')
                 await stream.receive()
-                text = f'ROW {row}\r\nDONE -\r\nREADY I {ready}\r\n'
+                lines = [f'ROW {row}'] if row else []
+                lines += ['DONE -', f'READY I {ready}', '']
+                text = '\r\n'.join(lines)
                 await stream.send(text.encode())
                 await anyio.sleep(1)
 
@@ -46,7 +48,17 @@
             outcome = await conn.run(core.StatusJob())
             await conn.close()
             tasks.cancel_scope.cancel()
-        return outcome.report
+        return outcome
+
+    return outcome_of
+
+
+@pytest.fixture
+async def asked(answered):
+    """Give a function that gives what the instance reports."""
+
+    async def report(row: str, ready: str) -> core.EndpointReport:
+        return (await answered(row, ready)).report
 
     return report
 
@@ -65,3 +77,23 @@
 async def test_a_position_of_the_term_itself_counts(asked):
     found = await asked('replica 2 2.9 0 12 1 4', '2.7')
     assert (found.marker, found.lsn, found.received_lsn) == (2, 7, 9)
+
+
+@pytest.mark.parametrize(
+    ('row', 'ready'),
+    [
+        ('', '2.7'),
+        ('replica', '2.7'),
+        ('replica two 2.9 0 12 1 4', '2.7'),
+        ('replica 2 here 0 12 1 4', '2.7'),
+        ('replica 2 2.9 - 12 1 4', '2.7'),
+        ('replica 2 2.9 0 12 1 4', 'there'),
+    ],
+)
+async def test_a_report_that_cannot_be_read_ends_its_connection(
+    answered, row, ready
+):
+    """And nothing else: without a row at all it ended the process."""
+    outcome = await answered(row, ready)
+    assert isinstance(outcome, core.JobFailed)
+    assert outcome.failure is core.Failure.LOST
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,80 @@
+"""Answers of the platform's store that can't be read."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+import result
+from tidegrade_platform import _http
+from tidegrade_platform import _settings
+from tidegrade_platform import _store
+
+from tidegrade import ports
+
+pytestmark = pytest.mark.anyio
+
+ROW = {'table': 't', 'part': '', 'key': 'k', 'ver': 3, 'value': 'eyJ9'}
+PAGE = {'rows': [ROW], 'ver': 9, 'now_ms': 1, 'truncated': False}
+#: Bodies that are no answer to any call.
+BODIES = [
+    b'',
+    b'\xff',
+    b'[]',
+    b'7',
+    b'{}',
+    json.dumps({**PAGE, 'ver': '9'}).encode(),
+    json.dumps({**PAGE, 'rows': None}).encode(),
+    json.dumps({**PAGE, 'rows': [7]}).encode(),
+    json.dumps({**PAGE, 'rows': [{**ROW, 'key': None}]}).encode(),
+    json.dumps({**PAGE, 'rows': [{**ROW, 'value': 'e'}]}).encode(),
+    json.dumps({**PAGE, 'rows': [{**ROW, 'value': 7}]}).encode(),
+    b'[' * 60_000,
+]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@pytest.fixture
+def store_that_says(monkeypatch):
+    """Give a function that makes a store whose answers are this body."""
+
+    def make(body: bytes) -> _store.Store:
+        async def ask(*args):
+            return result.Ok(_http.HttpAnswer(200, body))
+
+        store = _store.Store(_settings.Address('127.0.0.1', 1))
+        monkeypatch.setattr(store._client, 'ask', ask)
+        return store
+
+    return make
+
+
+async def test_an_answer_is_read(store_that_says):
+    store = store_that_says(json.dumps(PAGE).encode())
+    found = (await store.snapshot('t')).unwrap()
+    assert found == _store.Snapshot([_store.Row('k', b'{"}', 3)], 9)
+
+
+async def test_a_removed_row_is_told(store_that_says):
+    gone = {'table': 't', 'part': '', 'key': 'k', 'ver': 3, 'removed': True}
+    store = store_that_says(json.dumps({**PAGE, 'rows': [gone]}).encode())
+    assert (await store.feed('t', 1, 1.0)).unwrap().rows == {'k': None}
+
+
+@pytest.mark.parametrize('body', BODIES, ids=lambda raw: raw[:40].decode('l1'))
+async def test_what_is_no_answer_is_a_failure(store_that_says, body):
+    store = store_that_says(body)
+    assert (await store.snapshot('t')).is_err()
+    assert (await store.feed('t', 1, 1.0)).is_err()
+    if b'"ver": 9' not in body:
+        written = await store.write('k', b'v', None)
+        assert written.unwrap_err() is ports.WriteProblem.UNKNOWN
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_a_page_or_a_reason(body):
+    assert _store._page_of(body).is_err()
