Keep incoming connections of peers apart from links to them

Cause: the module of links had grown to 413 lines and held both ends.

Ruled out: splitting the link itself; its parts share state.

The tests of peers, of the peers' task and of the session program pass.

--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -11,6 +11,7 @@
 from tidegrade.daemon import _spread
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _server
 from tidegrade import ports
 
 #: Time that a peer gets to answer a control question, in seconds.
@@ -29,14 +30,14 @@
 class PeersTask:
     """Owns the links, the heartbeats and what they tell."""
 
-    def __init__(self, deps: _deps.Deps, handler: _links.Handler) -> None:
+    def __init__(self, deps: _deps.Deps, handler: _server.Handler) -> None:
         self._deps = deps
         cfg = deps.peers
         own = self._own = _links.Address(cfg.host, cfg.port)
         key = bytes.fromhex(cfg.key)
         self._handler = handler
         self._links = _links.Links(key, own)
-        self._server = _links.PeerServer(own, key, self._receive)
+        self._server = _server.PeerServer(own, key, self._receive)
         relayed_s = cfg.alive_s + RELAYED_INTERVALS * cfg.heartbeat_s
         self._roster = _roster.Roster(deps.proxy_id, cfg.alive_s, relayed_s)
         self._spread = _spread.Spread(
--- a/src/tidegrade/peers/_links.py
+++ b/src/tidegrade/peers/_links.py
@@ -1,7 +1,5 @@
-"""Connections between proxies: an outgoing link to each peer in use."""
+"""Outgoing connections to other proxies: a link to each one in use."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import contextlib
 import itertools
 
@@ -38,10 +36,9 @@
 #: Longest time that the answer to a question may take while bytes of it
 #: keep coming, in seconds: 2.5 MB on a link of 5 Mbit/s.
 FETCH_LIMIT = 4.0
-#: Connections that other proxies may hold to this one.
-MAX_INCOMING = 10_000
 
-_GONE = (
+#: What ends a connection between proxies.
+GONE = (
     OSError,
     anyio.EndOfStream,
     anyio.IncompleteRead,
@@ -49,9 +46,6 @@
     anyio.ClosedResourceError,
 )
 
-#: Takes a peer's message and gives the answer, if it wants one.
-Handler = Callable[[messages.PeerBody], Awaitable[messages.PeerBody | None]]
-
 
 @attrs.frozen
 class Address:
@@ -87,7 +81,7 @@
         with self._scope:
             while True:
                 self._connecting = True
-                with contextlib.suppress(*_GONE, TimeoutError):
+                with contextlib.suppress(*GONE, TimeoutError):
                     await self._connected()
                 self._lost()
                 await anyio.sleep(RECONNECT_PAUSE)
@@ -206,7 +200,7 @@
     async def _write(
         self, frames: _frames.FrameStream, scope: anyio.CancelScope
     ) -> None:
-        with contextlib.suppress(*_GONE):
+        with contextlib.suppress(*GONE):
             while True:
                 message = await self._receive.receive()
                 await frames.send(codec.encode(message))
@@ -256,7 +250,7 @@
                 address=str(self._address),
                 reason=str(exc),
             )
-        except _GONE:
+        except GONE:
             pass
 
 
@@ -276,71 +270,6 @@
     answer: messages.PeerBody | None = None
 
 
-class PeerServer:
-    """Takes the connections of other proxies."""
-
-    def __init__(self, address: Address, key: bytes, handler: Handler) -> None:
-        self._address = address
-        self._key = key
-        self._handler = handler
-        self._limit = anyio.CapacityLimiter(MAX_INCOMING)
-
-    async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
-        """Serve until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=self._address.host, local_port=self._address.port
-        )
-        task_status.started()
-        await listener.serve(self._peer)
-
-    async def _peer(self, stream: anyio.abc.SocketStream) -> None:
-        async with stream, self._limit:
-            try:
-                net.watch(stream)
-                with anyio.fail_after(CONNECT_TIMEOUT):
-                    frames = await _frames.open_frames(
-                        stream, self._key, connects=False
-                    )
-            except (*_GONE, TimeoutError):
-                return
-            await self._converse(frames)
-
-    async def _converse(self, frames: _frames.FrameStream) -> None:
-        async with anyio.create_task_group() as tasks:
-            try:
-                while True:
-                    message = codec.decode(await frames.receive())
-                    if isinstance(message.body, messages.Probe):
-                        probed = messages.Probed()
-                        await self._reply(frames, probed, message.number)
-                    elif message.number:
-                        tasks.start_soon(self._answer, frames, message)
-                    else:
-                        await self._handler(message.body)
-            except _GONE:
-                pass
-            except (_frames.NotAPeer, codec.Malformed) as exc:
-                # Caught inside the task group, which would wrap it.
-                logs.write(logs.LogEvent.PEER_REFUSED, reason=str(exc))
-            tasks.cancel_scope.cancel()
-
-    async def _answer(
-        self, frames: _frames.FrameStream, message: messages.PeerMessage
-    ) -> None:
-        body = await self._handler(message.body)
-        if body is not None:
-            await self._reply(frames, body, message.number)
-
-    async def _reply(
-        self,
-        frames: _frames.FrameStream,
-        body: messages.PeerBody,
-        number: int,
-    ) -> None:
-        with contextlib.suppress(*_GONE):
-            await frames.send(codec.encode(messages.PeerMessage(body, number)))
-
-
 class Links:
     """The links of this proxy, by address; made as they are needed.
 
--- a/tests/edge/test_edge_silence.py
+++ b/tests/edge/test_edge_silence.py
@@ -1,6 +1,6 @@
 """Connections that go silent for good, without an end, while new ones work.
 
-Found by the bench's day with `reset_conns` "silent": a feed that had gone
+Found on a day on which all connections went silent: a feed that had gone
 silent was given up after 25 s only, and a configuration accepted meanwhile
 came into force that late.
 """
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -9,6 +9,7 @@
 from tidegrade import core
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _server
 
 pytestmark = pytest.mark.anyio
 
@@ -33,7 +34,7 @@
         nonlocal heard
         heard += 1
 
-    server = _links.PeerServer(
+    server = _server.PeerServer(
         _links.Address('127.0.0.1', free_port), KEY, take
     )
     relay = edge.Relay(free_port)
@@ -68,7 +69,7 @@
     async def give(body: messages.PeerBody) -> messages.ConfigContent:
         return messages.ConfigContent(core.ConfigRef(2, ''), document)
 
-    server = _links.PeerServer(
+    server = _server.PeerServer(
         _links.Address('127.0.0.1', free_port), KEY, give
     )
     relay = edge.Relay(free_port, rate=200_000)
