Tell who asks about a failure domain only what it lacks

Ruled out: processor time (none was charged).

Change: the question names the revisions that are known; the answer has the other heartbeats in full and of the known ones that they live. Who knows the field not answers as before.

--- a/src/tidegrade/daemon/_spread.py
+++ b/src/tidegrade/daemon/_spread.py
@@ -276,14 +276,27 @@
                 self._differed.add(question)
 
     def domain_digest(self, question: messages.AskDomain) -> messages.Digest:
-        """Give the heartbeats of a failure domain in full."""
+        """Give the heartbeats of a failure domain that the other lacks.
+
+        Of those that it knows it is told that they live: with 40 proxies in
+        a domain and two of them new that is a quarter of the bytes.
+        """
         now = self._clock.now()
-        news = tuple(
-            messages.AgedHeartbeat(peer.beat, max(0.0, now - peer.heard_at))
-            for peer in self._roster.alive(now)
-            if peer.beat.domain == question.domain
+        known = frozenset(question.known)
+        news, alive = [], []
+        for peer in self._roster.alive(now):
+            if peer.beat.domain != question.domain:
+                continue
+            age = max(0.0, now - peer.heard_at)
+            if peer.revision in known:
+                alive.append(
+                    messages.AliveProxy(peer.beat.proxy, age, peer.revision)
+                )
+            else:
+                news.append(messages.AgedHeartbeat(peer.beat, age))
+        return messages.Digest(
+            tuple(news), tuple(alive), sender=self._spot.proxy
         )
-        return messages.Digest(news, sender=self._spot.proxy)
 
     def _counts_in(self, roll: messages.Roll, named: frozenset[str]) -> bool:
         if roll.domain != self._spot.domain:
@@ -353,11 +366,20 @@
             return
         asked_at = self._clock.now()
         asked = await self._links.fetch(
-            address, messages.AskDomain(question.domain), ASK_LIMIT
+            address, self.question_about(question.domain), ASK_LIMIT
         )
         if isinstance(asked.answer, messages.Digest):
             self.heard_domain(asked.answer, asked_at)
 
+    def question_about(self, domain: str) -> messages.AskDomain:
+        """Give the question for what is not known of a domain."""
+        known = (
+            peer.revision
+            for peer in self._roster.known()
+            if peer.beat.domain == domain
+        )
+        return messages.AskDomain(domain, tuple(known))
+
     def heard_domain(self, digest: messages.Digest, asked_at: float) -> None:
         """Take in heartbeats that were asked for.
 
@@ -366,6 +388,10 @@
         """
         for aged in digest.news:
             self._take(aged, asked_at, True)
+        for entry in digest.alive:
+            self._roster.refreshed(
+                entry.proxy, entry.revision, asked_at - entry.age
+            )
 
     # Who passes on --------------------------------------------------------
 
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -170,6 +170,9 @@
 
 def _put_ask_domain(wire: typing.Any, body: messages.AskDomain) -> None:
     wire.askDomain = body.domain
+    known = wire.init('known', len(body.known))
+    for at, revision in enumerate(body.known):
+        known[at] = revision
 
 
 def _put_ask_endpoints(wire: typing.Any, body: messages.AskEndpoints) -> None:
@@ -349,5 +352,5 @@
     'endpoints': lambda w: messages.EndpointNews(
         w.endpoints.version, bytes(w.endpoints.entries), w.endpoints.passOn
     ),
-    'askDomain': lambda w: messages.AskDomain(w.askDomain),
+    'askDomain': lambda w: messages.AskDomain(w.askDomain, tuple(w.known)),
 }
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -217,9 +217,14 @@
 
 @attrs.frozen
 class AskDomain:
-    """Asks for the heartbeats of all proxies of a failure domain."""
+    """Asks for the heartbeats of all proxies of a failure domain.
+
+    Those whose revisions are ``known`` need not be told again; only that
+    they live.
+    """
 
     domain: str
+    known: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -139,6 +139,7 @@
     digest @13 :Digest;
     askEndpoints @14 :EndpointList;
     endpoints @15 :EndpointList;
-    askDomain @16 :Text;   # asks for all heartbeats of a failure domain
+    askDomain @16 :Text;   # asks for the heartbeats of a failure domain
   }
+  known @17 :List(UInt32);  # revisions of those that are known already
 }
--- a/tests/daemon/test_spread.py
+++ b/tests/daemon/test_spread.py
@@ -100,7 +100,7 @@
         self.sent += 2
         self.crossed += 2 * (here != there)
         answer = asked.spread.domain_digest(
-            messages.AskDomain(question.domain)
+            asking.spread.question_about(question.domain)
         )
         asking.spread.heard_domain(answer, self.clock.now())
 
@@ -345,3 +345,27 @@
         if p.beat.domain == 'a' and p is not relay
     ]
     assert all(p.roster.get('p7').beat.opinions == (opinion,) for p in inside)
+
+
+def test_who_asks_about_a_domain_is_told_what_it_lacks(net):
+    """What it has already is not sent again.
+
+    With every heartbeat in each answer, 195 proxies that started together
+    and asked 8,668 times in 18 s filled the links of their relays.
+    """
+    first, *others = [p for p in net.proxies.values() if p.beat.domain == 'a']
+    asker = next(p for p in net.proxies.values() if p.beat.domain == 'b')
+    changed = others[0].beat = attrs.evolve(others[0].beat, draining=True)
+    first.roster.heard(changed, net.clock.now(), net.clock.now())
+    question = asker.spread.question_about('a')
+    answer = first.spread.domain_digest(question)
+    whole = first.spread.domain_digest(messages.AskDomain('a'))
+    assert [aged.beat for aged in answer.news] == [changed]
+    assert len(answer.alive) == len(whole.news) - 1
+    sizes = [
+        len(codec.encode(messages.PeerMessage(digest, 1)))
+        for digest in (answer, whole)
+    ]
+    assert sizes[0] < sizes[1] / 2
+    asker.spread.heard_domain(answer, net.clock.now())
+    assert asker.roster.get(changed.proxy).beat == changed
