Order a promotion within a lease that ends before it is taken over

Cause: nothing bounded the time between the row that records the choice and the order to promote. An attempt may be taken over after 2 s of silence, the order could be sent for 10 s. The endpoint's promise is looked at before the platform is called, not at the call, and holds only for endpoints which the successor has fenced. Taking orders back left a call under way alone.

Ruled out: two supervisors with one claim (compare-and-set, the numbers differ).

Change: the order has a lease from before the record was sent, looked at as the record is answered, before the call and once its connection is open; given up calls are reset. Event 1309 for each order.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -10,7 +10,10 @@
 3. *List*, then *revoke*: registered proxies give up their permission;
    those that don't answer are waited out.
 4. *Choose* the endpoint with the newest data and write it into the row.
-5. *Promote* it, and mark the term in the data.
+5. *Promote* it, and mark the term in the data. Platforms that count on
+   numbers that rise don't check them, so this order alone has a lease: it
+   is sent soon after the row of step 4 or not at all, and nobody takes an
+   attempt over before.
 6. *Publish* the new term by another compare-and-set.
 """
 
@@ -75,6 +78,8 @@
     to_come: frozenset[str] = frozenset()
     fenced: dict[str, _types.EndpointReport] = attrs.field(factory=dict)
     fenced_at: float = 0.0
+    #: When the row that records the choice was sent.
+    recorded_at: float = 0.0
     holders: frozenset[str] = frozenset()
     gave_up: set[str] = attrs.field(factory=set)
     last_order: float = float('-inf')
@@ -432,6 +437,7 @@
         assert row is not None and row.attempt is not None
         attempt = attrs.evolve(row.attempt, chosen=chosen)
         self._work.row = attrs.evolve(row, attempt=attempt)
+        self._work.recorded_at = now
         self._enter(Step.RECORD, now)
         self._commands.append(sv.WriteRow(self._work.row, self._work.tag))
 
@@ -440,6 +446,10 @@
     def _promote(self, now: float) -> None:
         row = self._work.row
         assert row is not None and row.attempt is not None
+        until = self._work.recorded_at + _watching.PROMOTION_LEASE
+        if now >= until:
+            self._abandon('the choice was recorded too late', now)
+            return
         self._enter(Step.PROMOTE, now)
         # What a job of an earlier step says late is no promotion.
         self._controls.clear()
@@ -447,6 +457,7 @@
             term=row.attempt.next_term,
             former_term=row.term,
             reelected=row.attempt.chosen == row.primary,
+            until=until,
         )
         self._control(row.attempt.chosen, job, now + PROMOTE_LIMIT)
 
--- a/src/tidegrade/core/_jobs.py
+++ b/src/tidegrade/core/_jobs.py
@@ -108,12 +108,14 @@
 
     Refused by an endpoint that has promised a later term meanwhile.
     ``reelected`` says that the endpoint led the former term: its log goes
-    on and nothing is lost.
+    on and nothing is lost. Not ordered from ``until`` on, by this proxy's
+    clock: another supervisor may have promoted with a later term by then.
     """
 
     term: int
     former_term: int
     reelected: bool = False
+    until: float = float('inf')
 
 
 @attrs.frozen
--- a/src/tidegrade/core/_permission.py
+++ b/src/tidegrade/core/_permission.py
@@ -12,8 +12,11 @@
 #: Bound on how much faster or slower the clock of one proxy may run.
 CLOCK_DRIFT = 0.05
 
+#: How much longer the same time is by the fastest clock than by the slowest.
+MOST_DRIFT = (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
+
 #: How long a supervisor waits for proxies that it can't ask, in seconds.
-PERMISSION_WAIT = PERMISSION_LENGTH * (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
+PERMISSION_WAIT = PERMISSION_LENGTH * MOST_DRIFT
 
 
 @attrs.frozen
--- a/src/tidegrade/core/_watching.py
+++ b/src/tidegrade/core/_watching.py
@@ -2,6 +2,7 @@
 
 from tidegrade.core import _detector
 from tidegrade.core import _membership
+from tidegrade.core import _permission
 from tidegrade.core import _row
 from tidegrade.core import _supervision as sv
 from tidegrade.core import _turns
@@ -13,8 +14,13 @@
 #: How long a majority must have answered again before an attempt, in
 #: seconds: an endpoint that failed is asked again within about a second.
 REACH_SETTLES = 1.5
-#: An attempt of another supervisor may be taken over after this silence.
+#: An attempt of another supervisor may be taken over after this silence, in
+#: seconds.
 TAKEOVER_AFTER = 2.0
+#: How long a supervisor may order a promotion from when it sent the row that
+#: records the choice, in seconds. It is over before others take the attempt
+#: over: the order would bear a lower number than theirs.
+PROMOTION_LEASE = TAKEOVER_AFTER / _permission.MOST_DRIFT
 #: How long other endpoints must have stood in for members that left before
 #: the term ends for that alone, in seconds: writes wait for about half a
 #: second meanwhile, and several may be replaced one after the other.
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -84,6 +84,11 @@
         logging.INFO,
         'a primary no longer counts as down here',
     )
+    PROMOTION_ORDERED = (
+        1309,
+        logging.WARNING,
+        'this proxy has an endpoint promoted',
+    )
     PEER_REFUSED = (1401, logging.WARNING, 'a peer is not genuine')
     PEER_SILENT = (1404, logging.WARNING, 'a link to a peer went silent')
     CUT_OFF = (
--- a/standins/tidegrade_fakes/_callers.py
+++ b/standins/tidegrade_fakes/_callers.py
@@ -6,6 +6,7 @@
 import attrs
 
 from tidegrade import core
+from tidegrade_fakes import _duties
 from tidegrade_fakes import _world
 
 #: Deadline that callers give, and how long they wait beyond it, seconds.
@@ -13,10 +14,6 @@
 GRACE = 1.0
 
 
-class Violation(AssertionError):
-    """A promise was seen broken from outside."""
-
-
 @attrs.define
 class Op:
     """One write of a caller and what it was told of it, in order."""
@@ -51,7 +48,7 @@
     def acknowledged(self, term: int, now: float) -> None:
         """Check that no superseded primary acknowledges a write."""
         if term < self.newest_term:
-            raise Violation(
+            raise _duties.Violation(
                 f'a write of term {term} was acknowledged after one of'
                 f' term {self.newest_term}'
             )
@@ -225,7 +222,7 @@
         if not self._durable and self._lost_since(answer.position):
             return
         if self._floor is not None and value < expected and not late:
-            raise Violation(
+            raise _duties.Violation(
                 f'{self._name} wrote {expected} and read {value} at'
                 f' {answer.endpoint}'
             )
--- a/standins/tidegrade_fakes/_forgetful.py
+++ b/standins/tidegrade_fakes/_forgetful.py
@@ -95,6 +95,10 @@
     def _promote(self, job: core.PromoteJob, now: float) -> core.JobOutcome:
         if self.promised != job.term:
             return core.JobFailed(core.Failure.REFUSED, usable=True)
+        return self.lead(now)
+
+    def lead(self, now: float) -> core.JobOutcome:
+        """Lead the next term, as the platform orders, whatever it holds."""
         term = self.newest_term()
         self.applied = len(self.log)
         self.in_recovery = False
--- a/standins/tidegrade_fakes/_run.py
+++ b/standins/tidegrade_fakes/_run.py
@@ -8,11 +8,12 @@
 from tidegrade import config
 from tidegrade import core
 from tidegrade_fakes import _callers
+from tidegrade_fakes import _duties
 from tidegrade_fakes import _endpoint
 from tidegrade_fakes import _forgetful
 from tidegrade_fakes import _world
 
-Violation = _callers.Violation
+Violation = _duties.Violation
 
 #: Time at the end in which everything is healed, in seconds.
 HEAL = 12.0
--- a/standins/tidegrade_fakes/_world.py
+++ b/standins/tidegrade_fakes/_world.py
@@ -11,7 +11,9 @@
 from tidegrade import config
 from tidegrade import core
 from tidegrade.core import supervision
+from tidegrade_fakes import _duties
 from tidegrade_fakes import _endpoint
+from tidegrade_fakes import _forgetful
 from tidegrade_fakes import _table
 
 #: One-way delay of a message, in seconds.
@@ -30,6 +32,8 @@
 ROW_RETRY = 0.5
 #: Time after which an endpoint notices that a silent client is gone.
 CLIENT_GONE = 2.0
+#: Longest time that a connection to the platform takes to open, in seconds.
+MAX_OPENING = 4.0
 #: Pause before a job that waits for a lock is looked at again.
 LOCK_PAUSE = 0.005
 
@@ -50,10 +54,13 @@
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self.table = _table.FakeTable()
+        self.duties = _duties.FakeDuties()
         self.endpoints: dict[str, _endpoint.FakeEndpoint] = {}
         self.proxies: dict[str, FakeProxy] = {}
         self.cut: set[frozenset[str]] = set()
         self.lose_answers = 0.0
+        #: Part of the connections to the platform that take long to open.
+        self.slow_openings = 0.0
 
     def at(self, delay: float, action: Callable[[], None]) -> None:
         """Have something happen after a delay."""
@@ -72,6 +79,12 @@
         """Give the delay of one message."""
         return self.rng.uniform(MIN_DELAY, MAX_DELAY)
 
+    def opening(self) -> float:
+        """Give how long a connection to the platform takes to open."""
+        if self.rng.random() < self.slow_openings:
+            return self.rng.uniform(0.0, MAX_OPENING)
+        return self.delay()
+
     def connected(self, one: str, other: str) -> bool:
         """Tell whether messages pass between two parties."""
         return frozenset((one, other)) not in self.cut
@@ -346,6 +359,9 @@
                 return
             if sent not in endpoint.conns:
                 return
+            if self._platform_promotes(endpoint, job):
+                self._later(endpoint, lambda: self._call(sent, job))
+                return
             try:
                 outcome = endpoint.run(sent, job, self.world.now)
             except _endpoint.Blocked:
@@ -355,6 +371,42 @@
 
         self.world.send(self.name, endpoint.name, arrive)
 
+    def _platform_promotes(
+        self, endpoint: _endpoint.FakeEndpoint, job: core.Job
+    ) -> bool:
+        """Tell whether the platform, not the endpoint, carries a job out."""
+        if not self.world.slow_openings:
+            # Its calls take no time of their own.
+            return False
+        if not isinstance(endpoint, _forgetful.ForgetfulEndpoint):
+            return False
+        if not isinstance(job, core.PromoteJob):
+            return False
+        return endpoint.promised == job.term
+
+    def _call(self, sent: _Sent, job: core.Job) -> None:
+        """Have the platform promote an endpoint that was looked at."""
+        endpoint = sent.endpoint
+        assert isinstance(endpoint, _forgetful.ForgetfulEndpoint)
+        assert isinstance(job, core.PromoteJob)
+
+        def order() -> None:
+            self.world.duties.order(self.name, job.term)
+            if not endpoint.alive:
+                return
+            outcome = endpoint.lead(self.world.now)
+            self._later(endpoint, lambda: self._job_ended(sent, outcome))
+
+        def send() -> None:
+            if not sent.open:
+                return
+            if self.clock() < job.until:
+                self.world.at(self.world.delay(), order)
+            else:
+                self._job_ended(sent, core.JobFailed(core.Failure.REFUSED))
+
+        self.world.at(self.world.opening(), lambda: self.do(send))
+
     def _job_ended(self, sent: _Sent, outcome: core.JobOutcome) -> None:
         if not sent.open:
             return
--- a/tests/core/test_failover.py
+++ b/tests/core/test_failover.py
@@ -6,6 +6,8 @@
 
 from tidegrade import config
 from tidegrade import core
+from tidegrade.core import _permission
+from tidegrade.core import _watching
 from tidegrade.core import supervision
 
 NAMES = ('a', 'b', 'c')
@@ -179,6 +181,36 @@
     assert row.forks == (core.Fork(1, 140),)
 
 
+def recorded(bench: Bench, seconds: float) -> list:
+    """Let the choice be recorded after a time; give the orders then."""
+    bench.claim()
+    bench.fence('b', 'c')
+    bench.tell(supervision.HoldersListed(frozenset()))
+    for control in bench.take(supervision.RunControl):
+        bench.end(control, core.JobDone(report(promised=2)))
+    bench.now += seconds
+    bench.written('3')
+    return bench.take(supervision.RunControl)
+
+
+def test_a_promotion_is_ordered_within_its_lease(bench):
+    """Another supervisor may promote with a higher number after it."""
+    sent_at = bench.now
+    (control,) = recorded(bench, 0.5)
+    assert control.job.until == sent_at + _watching.PROMOTION_LEASE
+
+
+def test_a_choice_that_is_recorded_late_is_not_carried_out(bench):
+    assert recorded(bench, _watching.PROMOTION_LEASE) == []
+    assert bench.supervisor.step is core.Step.WATCH
+
+
+def test_the_lease_is_over_before_an_attempt_is_taken_over():
+    longest = _watching.PROMOTION_LEASE * (1 + _permission.CLOCK_DRIFT)
+    shortest = _watching.TAKEOVER_AFTER * (1 - _permission.CLOCK_DRIFT)
+    assert longest <= shortest
+
+
 def test_a_status_that_ends_late_is_no_promotion(bench):
     """Found by a randomised run: seed 116, before controls were dropped."""
     bench.claim()
--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -85,3 +85,12 @@
     with pytest.raises(OSError):
         net.watch(near)
     net.shut_down(near)
+
+
+async def test_what_was_not_delivered_is_dropped_with_a_reset(pair):
+    """Else a call that was given up arrives once a path is whole again."""
+    near, far = pair
+    net.drop_unsent(near)
+    await anyio.aclose_forcefully(near)
+    with pytest.raises(anyio.BrokenResourceError):
+        await far.receive()
--- /dev/null
+++ b/tests/platform/test_duties.py
@@ -0,0 +1,87 @@
+"""Calls that only the holder of a duty makes, and when they are too late."""
+
+import anyio
+import anyio.abc
+import pytest
+from tidegrade_platform import _duties
+from tidegrade_platform import _settings
+
+pytestmark = pytest.mark.anyio
+
+HOST = '127.0.0.1'
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+class FakeClock:
+    """A clock that is set by hand."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+
+@pytest.fixture
+def clock() -> FakeClock:
+    return FakeClock()
+
+
+@pytest.fixture
+async def platform():
+    """Give the address of a platform, and what it was sent."""
+    sent: list[bytes] = []
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            sent.append(await stream.receive())
+            await stream.send(ANSWER)
+            await anyio.sleep(1)
+
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        yield _settings.Address(HOST, port), sent
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_promotion_bears_its_holder_and_its_number(platform, clock):
+    address, sent = platform
+    duties = _duties.Duties(address, 'p1', clock)
+    assert await duties.promote('svc', 'i-1', 7, clock.now() + 1.0) == ''
+    (call,) = sent
+    assert b'Duty-Holder: p1' in call
+    assert b'Fence-Token: 7' in call
+
+
+async def test_a_promotion_is_not_sent_once_its_lease_is_over(platform, clock):
+    address, sent = platform
+    duties = _duties.Duties(address, 'p1', clock)
+    problem = await duties.promote('svc', 'i-1', 7, clock.now())
+    assert problem == 'too late to be sent'
+    assert sent == []
+
+
+async def test_nor_if_its_connection_opened_too_late(
+    platform, clock, monkeypatch
+):
+    """The number of another supervisor had overtaken it meanwhile."""
+    address, sent = platform
+    connect = anyio.connect_tcp
+
+    async def connect_late(host: str, port: int) -> anyio.abc.SocketStream:
+        stream = await connect(host, port)
+        clock.time += 2.0
+        return stream
+
+    monkeypatch.setattr(anyio, 'connect_tcp', connect_late)
+    duties = _duties.Duties(address, 'p1', clock)
+    problem = await duties.promote('svc', 'i-1', 7, clock.now() + 1.0)
+    assert 'too late to be sent' in problem
+    assert sent == [b''] or sent == []
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -7,6 +7,7 @@
 from tidegrade_platform import _instances
 from tidegrade_platform import _settings
 
+from tidegrade.adapters import _clock
 from tidegrade import config
 from tidegrade import core
 
@@ -36,7 +37,9 @@
 
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        duties = _duties.Duties(_settings.Address('127.0.0.1', 1), 'p')
+        duties = _duties.Duties(
+            _settings.Address('127.0.0.1', 1), 'p', _clock.BootClock()
+        )
         instances = _instances.Instances('p', duties, lambda _: None)
         endpoint = config.Endpoint('127.0.0.1', port, 'x')
         group = config.Group(
--- a/tests/proofs/test_forgetful.py
+++ b/tests/proofs/test_forgetful.py
@@ -25,6 +25,19 @@
     assert report.acknowledged and report.reads
 
 
+@pytest.mark.parametrize('seed', [216, 219, 222, 232])
+def test_no_promotion_bears_a_lower_number_than_one_before(seed):
+    """Calls to the platform that open late came after a successor's.
+
+    What happens: a supervisor looks at the endpoint and then calls the
+    platform; until that call leaves, another takes its attempt over and
+    promotes first. Why: nothing bounded the time between the two.
+    """
+    run = fakes.Run(settings(seed, fault_pause=1.0))
+    run.world.slow_openings = 0.7
+    assert run.report().terms
+
+
 def breaks(seeds: range) -> str:
     """Give the first promise found broken as the primary's side is cut."""
     for seed in seeds:
