Tell when a proxy that stops turns new callers away

What callers saw: none of three was answered as a proxy ended, once, in the whole tests on beside a load of 20.

Cause, explained by runs: the proxy takes callers until 1.9 s after SIGTERM, the test's callers come from 1.4 s on.

Ruled out: sessions closed under a request (checked elsewhere in the test); a door that closes early (1,900, 1,902 and 1,902 ms).

Change: event 1010 as the door closes, so that the next failure tells. The test is as it was.

--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -27,6 +27,7 @@
     RELOADED = (1007, logging.INFO, 'the settings were read again')
     RELOAD_REFUSED = (1008, logging.ERROR, 'new settings are unusable')
     SESSION_CLOSED = (1009, logging.INFO, 'a session at rest was closed')
+    DOOR_CLOSED = (1010, logging.INFO, 'new callers are turned away')
     REGISTERED = (1101, logging.INFO, 'supervisors know this proxy')
     PLATFORM_LOST = (1102, logging.WARNING, 'the platform does not answer')
     PLATFORM_BACK = (1103, logging.INFO, 'the platform answers again')
--- a/src/tidegrade/session_proxy/_ending.py
+++ b/src/tidegrade/session_proxy/_ending.py
@@ -45,6 +45,11 @@
             await self._close_sessions()
         # Whoever comes now would meet a process that is ending.
         self._door.stop_accepting()
+        logs.write(
+            logs.LogEvent.DOOR_CLOSED,
+            after_ms=round((self._clock.now() - started) * 1000),
+            in_flight=self._door.close_resting(),
+        )
         await anyio.sleep(CLOSING_LOOK)
         with anyio.move_on_after(LAST_CALLERS) as last:
             await self._close_sessions()
