Take back no grant that comes back late

An operation that waited and reached no endpoint gave its grant back whenever that was, and a window that began in between held one operation more for each.

Cause: the sum of a window counts what is granted in it; a grant from before it that comes back in it is granted again.

With endless demand and grants that come back after 1.5 s a window of a second holds more than the limit.

Ruled out: counting the return at the moment of the grant (windows over it have been granted from already).

Change: a grant says when it counts, by the keeper's clock, and is lost if it comes back more than 50 ms after.

Before: test_without_a_limit_of_age_they_would shows the excess. After: test_grants_that_come_back_late_raise_no_window holds.

It costs a tenant at its limit what waited in vain.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -70,6 +70,7 @@
 from tidegrade.core._jobs import StatusJob
 from tidegrade.core._jobs import WriteJob
 from tidegrade.core._quota import Admission
+from tidegrade.core._quota import BACK_WITHIN
 from tidegrade.core._quota import Grant
 from tidegrade.core._quota import keepers_of
 from tidegrade.core._quota import keeps
@@ -113,6 +114,7 @@
 from tidegrade.core._types import Trace
 
 __all__ = [
+    'BACK_WITHIN',
     'LONGEST_DELAY',
     'LONGEST_PAUSE',
     'NO_LOSS',
--- a/src/tidegrade/core/_quota.py
+++ b/src/tidegrade/core/_quota.py
@@ -18,6 +18,10 @@
 from tidegrade.core import _turns
 from tidegrade import tenants
 
+#: How long after it counts a grant may be given back, in seconds: the time
+#: of an immediate refusal. What comes back later would be granted twice
+#: within the window in which it was sent.
+BACK_WITHIN = 0.05
 #: Operations that a new keeper may grant at once. Those of several changes
 #: of keeper in a row must stay below the excess that a quota bears.
 START_GRANTS = 2.0
@@ -51,11 +55,13 @@
     If it is ``granted`` it may start after ``wait`` seconds; else ``wait``
     is the time after which another would be granted. ``part`` is that of
     all proxies which the keeper sees, and of the limit that it grants.
+    ``at`` is the moment at which it counts, by the keeper's clock.
     """
 
     granted: bool
     wait: float
     part: float = 1.0
+    at: float = 0.0
 
 
 @attrs.frozen
@@ -64,13 +70,14 @@
 
     A ``wait`` beside a refusal is when to come back; both in seconds. No
     ``keeper`` is named where none answered, or none was asked; it granted by
-    ``part`` of the limit.
+    ``part`` of the limit, at ``at`` by its own clock.
     """
 
     granted: bool
     wait: float = 0.0
     keeper: str = ''
     part: float = 1.0
+    at: float = 0.0
 
 
 @attrs.define
@@ -180,15 +187,20 @@
             return Grant(False, wait, part)
         bucket.ledger.granted += 1
         bucket.level -= 1
-        return Grant(True, wait, part)
+        return Grant(True, wait, part, now + wait)
 
-    def give_back(self, name: str, now: float) -> None:
-        """Take back a grant whose operation reached no endpoint."""
+    def give_back(self, name: str, at: float, now: float) -> bool:
+        """Take back a grant whose operation reached no endpoint.
+
+        It counts at ``at``; False if that is too long ago.
+        """
         bucket = self._buckets.get(name)
-        if bucket is not None:
-            bucket.fill(now)
-            bucket.level = min(bucket.level + 1, bucket.most)
-            bucket.ledger.given_back += 1
+        if bucket is None or now - at > BACK_WITHIN:
+            return False
+        bucket.fill(now)
+        bucket.level = min(bucket.level + 1, bucket.most)
+        bucket.ledger.given_back += 1
+        return True
 
     def observe(self, part: float, now: float) -> None:
         """Earn by another part from now on."""
--- a/src/tidegrade/daemon/_quotas.py
+++ b/src/tidegrade/daemon/_quotas.py
@@ -105,17 +105,18 @@
                 grant = await self._ask(keeper, tenant, patience, instead_of)
             if grant is not None:
                 return core.Admission(
-                    grant.granted, grant.wait, keeper, grant.part
+                    grant.granted, grant.wait, keeper, grant.part, grant.at
                 )
             instead_of = instead_of or self._domains.get(keeper, '')
         return core.Admission(False, RETRY_AFTER)
 
-    def give_back(self, name: str, keeper: str) -> None:
+    def give_back(self, name: str, admission: core.Admission) -> None:
         """Give back a grant whose operation reached no endpoint."""
-        if keeper == self._spot.proxy:
-            self._keeper.give_back(name, self._clock.now())
+        back = messages.QuotaBack(name, admission.at)
+        if admission.keeper == self._spot.proxy:
+            self.given_back(back)
         else:
-            self._peers.tell(keeper, messages.QuotaBack(name))
+            self._peers.tell(admission.keeper, back)
 
     async def _ask(
         self,
@@ -178,8 +179,8 @@
         )
 
     def given_back(self, body: messages.QuotaBack) -> None:
-        """Take back a grant that another proxy did not use."""
-        self._keeper.give_back(body.tenant, self._clock.now())
+        """Take back a grant that was not used."""
+        self._keeper.give_back(body.tenant, body.at, self._clock.now())
 
     def _grant(
         self, tenant: tenants.Tenant, patience: float, instead_of: str
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -202,10 +202,13 @@
     grant.granted = body.grant.granted
     grant.wait = body.grant.wait
     grant.part = body.grant.part
+    grant.at = body.grant.at
 
 
 def _put_quota_back(wire: typing.Any, body: messages.QuotaBack) -> None:
-    wire.quotaBack = body.tenant
+    back = wire.init('quotaBack')
+    back.tenant = body.tenant
+    back.at = body.at
 
 
 def _put_probe(wire: typing.Any, body: messages.Probe) -> None:
@@ -392,7 +395,9 @@
     'askDomain': lambda w: messages.AskDomain(w.askDomain, tuple(w.known)),
     'askQuota': lambda w: _ask_quota_of(w.askQuota),
     'quota': lambda w: messages.QuotaGrant(
-        core.Grant(w.quota.granted, w.quota.wait, w.quota.part)
+        core.Grant(w.quota.granted, w.quota.wait, w.quota.part, w.quota.at)
+    ),
+    'quotaBack': lambda w: messages.QuotaBack(
+        w.quotaBack.tenant, w.quotaBack.at
     ),
-    'quotaBack': lambda w: messages.QuotaBack(w.quotaBack),
 }
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -277,9 +277,13 @@
 
 @attrs.frozen
 class QuotaBack:
-    """Gives a grant of a tenant back: its operation reached no endpoint."""
+    """Gives a grant of a tenant back: its operation reached no endpoint.
+
+    It counted at ``at``, by the keeper's clock.
+    """
 
     tenant: str
+    at: float
 
 
 @attrs.frozen
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -136,6 +136,13 @@
   granted @0 :Bool;
   wait @1 :Float64;       # seconds
   part @2 :Float32;       # of all proxies that the keeper sees
+  at @3 :Float64;         # when it counts, by the keeper's clock
+}
+
+struct QuotaBack {
+  # Gives a grant back that was not used.
+  tenant @0 :Text;
+  at @1 :Float64;         # when it counted, as the grant says
 }
 
 struct PeerMessage {
@@ -159,7 +166,7 @@
     askDomain @16 :Text;   # asks for the heartbeats of a failure domain
     askQuota @18 :QuotaAsk;
     quota @19 :QuotaGrant;
-    quotaBack @20 :Text;   # a grant of this tenant that was not used
+    quotaBack @20 :QuotaBack;
   }
   known @17 :List(UInt32);  # revisions of those that are known already
 }
--- a/src/tidegrade/sessions/_deps.py
+++ b/src/tidegrade/sessions/_deps.py
@@ -52,7 +52,7 @@
     ) -> core.Admission:
         """Have an operation granted that can wait ``patience`` seconds."""
 
-    def give_back(self, name: str, keeper: str) -> None:
+    def give_back(self, name: str, admission: core.Admission) -> None:
         """Give back a grant whose operation reached no endpoint."""
 
 
@@ -65,7 +65,7 @@
         """Grant an operation."""
         return core.Admission(True)
 
-    def give_back(self, name: str, keeper: str) -> None:
+    def give_back(self, name: str, admission: core.Admission) -> None:
         """Do nothing: nothing was taken."""
 
 
--- a/src/tidegrade/sessions/_operations.py
+++ b/src/tidegrade/sessions/_operations.py
@@ -22,11 +22,11 @@
 
 @attrs.frozen
 class Start:
-    """An operation that may start; ``keeper`` granted it, if any had to."""
+    """An operation that may start; ``admission`` if it had to be granted."""
 
     access: _access.Access
     group: _deps.GroupAccess
-    keeper: str = ''
+    admission: core.Admission | None = None
 
 
 def refused(code: core.Code, detail: str) -> core.Answer:
@@ -77,19 +77,18 @@
             await anyio.sleep(admission.wait)
         granted = self._find()
         if granted.is_err():
-            self._deps.quotas.give_back(tenant.name, admission.keeper)
+            self._deps.quotas.give_back(tenant.name, admission)
             return granted
-        return result.Ok(
-            attrs.evolve(granted.unwrap(), keeper=admission.keeper)
-        )
+        return result.Ok(attrs.evolve(granted.unwrap(), admission=admission))
 
     def settle(self, start: Start, answer: core.Answer) -> None:
         """Give a grant back if its operation reached no endpoint."""
-        if not start.keeper or answer.outcome is not core.Outcome.NOT_RUN:
+        admission = start.admission
+        if admission is None or answer.outcome is not core.Outcome.NOT_RUN:
             return
         if answer.trace is None or not answer.trace.tries:
             name = start.access.tenant_name
-            self._deps.quotas.give_back(name, start.keeper)
+            self._deps.quotas.give_back(name, admission)
 
     def key_is_gone(self, began: float) -> bool:
         """Tell whether the key of a transaction was withdrawn some time ago.
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -111,10 +111,27 @@
 def test_what_was_not_used_is_given_back(keeper):
     flood(keeper, 0.09)
     assert not keeper.grant(tenant(), 1.0, 0.0, 0.09).granted
-    keeper.give_back('acme', 0.09)
+    assert keeper.give_back('acme', 0.08, 0.09)
     assert keeper.grant(tenant(), 1.0, 0.0, 0.09).granted
 
 
+def test_what_comes_back_late_is_lost(keeper):
+    """It would be granted again in a window in which it was sent before."""
+    flood(keeper, 0.09)
+    level = keeper.level_of('acme')
+    late = 0.08 + core.BACK_WITHIN + 0.001
+    assert not keeper.give_back('acme', 0.08, late)
+    assert keeper.level_of('acme') == level
+
+
+def test_a_grant_that_waited_counts_from_its_start(keeper):
+    flood(keeper, 0.1)
+    for _ in range(4):
+        grant = keeper.grant(tenant(), 1.0, 10.0, 0.1)
+    assert grant.wait > core.BACK_WITHIN
+    assert keeper.give_back('acme', grant.at, 0.1 + grant.wait)
+
+
 def test_another_s_tenants_are_forgotten(keeper):
     flood(keeper, 0.1)
     keeper.keep_only(frozenset())
@@ -131,6 +148,39 @@
     assert turns[0] not in again
 
 
+def run_with_returns(keeper) -> list[float]:
+    """Ask without end; some grants come back 1.5 s later, having run nothing.
+
+    Give when operations ran. For three seconds all is well, then nothing runs
+    for two, as before endpoints that take no work.
+    """
+    ran: list[float] = []
+    waiting: list[core.Grant] = []
+    for step in range(10_000):
+        now = step / 1000
+        grant = keeper.grant(tenant(), 1.0, 0.0, now)
+        if grant.granted and 3.0 <= now < 5.0:
+            waiting.append(grant)
+        elif grant.granted:
+            ran.append(now)
+        while waiting and waiting[0].at <= now - 1.5:
+            keeper.give_back('acme', waiting.pop(0).at, now)
+    return ran
+
+
+def test_grants_that_come_back_late_raise_no_window(keeper):
+    """Operations that waited for seconds and did not run were granted anew.
+
+    Those that others had been granted meanwhile ran in the same window.
+    """
+    assert most_within(run_with_returns(keeper), 1.0) <= RATE + BURST + 1
+
+
+def test_without_a_limit_of_age_they_would(keeper, monkeypatch):
+    monkeypatch.setattr(_quota, 'BACK_WITHIN', float('inf'))
+    assert most_within(run_with_returns(keeper), 1.0) > RATE + BURST + 1
+
+
 def test_who_stands_in_saves_nothing_up(keeper):
     """Else both the usual keeper and its stand-in grant a burst."""
     keeper.grant(tenant(), 1.0, 0.0, 0.0, stands_in=True)
