Say that a database is missing by a proven configuration only

Cause: a refusal for a lacking route or key went by the version in force, however long ago it was known to be the newest.

Ruled out: another place that says it (there is none).

Change: with a proof older than the bound, or none, the proxy says that it can't tell (BUSY, to come back). With a younger proof nothing newer can have been accepted before the bound, so that the refusal can't break the rule.

Before: test_no_database_is_said_to_be_missing_by_an_old_configuration fails: NODB for as long as the store is away. After: it passes.

--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -80,7 +80,11 @@
         """Begin a session on a database, or say why not."""
         found = self._access_of(database, caller)
         if found.is_err():
-            code = found.unwrap_err()
+            code = sessions.refusal(
+                found.unwrap_err(),
+                self._watch.config_age(),
+                self._cfg.config_within_s,
+            )
             logs.write_bounded(
                 logs.LogEvent.SESSION_REFUSED,
                 database=database,
--- a/src/tidegrade/sessions/__init__.py
+++ b/src/tidegrade/sessions/__init__.py
@@ -2,6 +2,7 @@
 
 from tidegrade.sessions._access import Access
 from tidegrade.sessions._access import access_to
+from tidegrade.sessions._access import refusal
 from tidegrade.sessions._commands import Begin
 from tidegrade.sessions._commands import Command
 from tidegrade.sessions._commands import Commit
@@ -46,4 +47,5 @@
     'SetValue',
     'Unlimited',
     'access_to',
+    'refusal',
 ]
--- a/src/tidegrade/sessions/_access.py
+++ b/src/tidegrade/sessions/_access.py
@@ -25,6 +25,27 @@
         return self.tenant.name if self.tenant is not None else ''
 
 
+#: What a newer configuration may bring.
+_MAY_COME = frozenset({core.Code.NOT_FOUND, core.Code.UNAUTHORIZED})
+
+
+def refusal(
+    code: core.Code, config_age: float | None, within: float
+) -> core.Code:
+    """Give why there is no way to a database, as far as that is known.
+
+    ``config_age`` is how long ago the configuration was known to be the
+    newest (None: not known), and ``within`` the time in which an accepted one
+    must be in force, both in seconds. By one that may be older nobody is told
+    that a route or a key does not exist.
+    """
+    if code not in _MAY_COME:
+        return code
+    if config_age is None or config_age > within:
+        return core.Code.NO_CONFIG
+    return code
+
+
 def access_to(
     catalogue: _routes.Catalogue | None,
     database: str,
--- a/tests/edge/test_edge_failures.py
+++ b/tests/edge/test_edge_failures.py
@@ -182,6 +182,33 @@
             await anyio.sleep(0.05)
 
 
+async def refused_with(proxy, database: str) -> str:
+    """Give what a proxy says of a database that it has no route for."""
+    stream = await anyio.connect_tcp('127.0.0.1', proxy.front)
+    async with stream:
+        await stream.send(f'CONNECT {database} u\r\n'.encode())
+        return (await stream.receive()).decode().strip()
+
+
+async def test_no_database_is_said_to_be_missing_by_an_old_configuration(
+    site, until
+):
+    """A new route was answered with "no such database" over 5 s later.
+
+    What happens: a proxy goes on by a configuration that it can't show to be
+    the newest. Why: it took what its own version lacks for what does not
+    exist.
+    """
+    proxy = site.proxies[0]
+    assert await refused_with(proxy, 'db-none') == 'ERROR NODB db-none'
+    site.store.faults.refusing = True
+
+    async def unsure() -> bool:
+        return await refused_with(proxy, 'db-none') == 'ERROR BUSY db-none'
+
+    await until(unsure)
+
+
 async def test_whoever_comes_as_a_proxy_ends_is_answered_or_turned_away(site):
     """Found by a hunt: a request taken in the last moments was cut off.
 
