Test that an order which is taken back ends its call; name counts plainly

Cause: the end of a call to promote as its job is taken back had no test of its own, and the counts of a keeper's grants were called a ledger, which needs explaining.

Ruled out: a test with real connections (the call's own is not the instance's, which is what went wrong).

Change: a test with a platform that never answers; GrantCounts; the step of the supervisor's page that says why it has a lease reads plainer. No change of behaviour.

Before: without the cancel the test hangs until its limit of 2 s and fails. After: it passes.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -10,10 +10,10 @@
 3. *List*, then *revoke*: registered proxies give up their permission;
    those that don't answer are waited out.
 4. *Choose* the endpoint with the newest data and write it into the row.
-5. *Promote* it, and mark the term in the data. Platforms that count on
-   numbers that rise don't check them, so this order alone has a lease: it
-   is sent soon after the row of step 4 or not at all, and nobody takes an
-   attempt over before.
+5. *Promote* it, and mark the term in the data. A platform may count on the
+   numbers of such orders to rise without checking them, so this step alone
+   has a lease: the order is sent soon after the row of step 4 or not at all,
+   and nobody takes the attempt over before.
 6. *Publish* the new term by another compare-and-set.
 """
 
--- a/src/tidegrade/core/_quota.py
+++ b/src/tidegrade/core/_quota.py
@@ -81,7 +81,7 @@
 
 
 @attrs.define
-class Ledger:
+class GrantCounts:
     """What became of a tenant's questions since the last report."""
 
     granted: int = 0
@@ -104,7 +104,7 @@
     #: alive, and when it did so last.
     stand_in_since: float | None = None
     stood_in_at: float = float('-inf')
-    ledger: Ledger = attrs.field(factory=Ledger)
+    counts: GrantCounts = attrs.field(factory=GrantCounts)
 
     @property
     def rate(self) -> float:
@@ -183,9 +183,9 @@
             bucket.be_keeper()
         wait = self._wait(bucket, now)
         if wait > patience:
-            bucket.ledger.refused += 1
+            bucket.counts.refused += 1
             return Grant(False, wait, part)
-        bucket.ledger.granted += 1
+        bucket.counts.granted += 1
         bucket.level -= 1
         return Grant(True, wait, part, now + wait)
 
@@ -199,7 +199,7 @@
             return False
         bucket.fill(now)
         bucket.level = min(bucket.level + 1, bucket.most)
-        bucket.ledger.given_back += 1
+        bucket.counts.given_back += 1
         return True
 
     def observe(self, part: float, now: float) -> None:
@@ -221,12 +221,12 @@
         for name in self._buckets.keys() - names:
             del self._buckets[name]
 
-    def reports(self) -> Iterator[tuple[Bucket, Ledger]]:
+    def reports(self) -> Iterator[tuple[Bucket, GrantCounts]]:
         """Give what became of the questions since the last time."""
         for bucket in self._buckets.values():
-            if bucket.ledger != Ledger():
-                ledger, bucket.ledger = bucket.ledger, Ledger()
-                yield bucket, ledger
+            if bucket.counts != GrantCounts():
+                counts, bucket.counts = bucket.counts, GrantCounts()
+                yield bucket, counts
 
     def level_of(self, name: str) -> float | None:
         """Give what a tenant has saved up; None if it isn't kept here."""
--- a/src/tidegrade/daemon/_quotas.py
+++ b/src/tidegrade/daemon/_quotas.py
@@ -77,13 +77,13 @@
         if now < self._next_report:
             return
         self._next_report = now + REPORT_INTERVAL
-        for bucket, ledger in self._keeper.reports():
+        for bucket, counts in self._keeper.reports():
             logs.write_bounded(
                 logs.LogEvent.QUOTA_KEPT,
                 tenant=bucket.tenant.name,
-                granted=ledger.granted,
-                refused=ledger.refused,
-                given_back=ledger.given_back,
+                granted=counts.granted,
+                refused=counts.refused,
+                given_back=counts.given_back,
                 level=round(bucket.level, 1),
                 part=round(bucket.part, 2),
                 rate=bucket.tenant.rate,
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -4,7 +4,9 @@
 import anyio.abc
 import pytest
 from tidegrade_platform import _duties
+from tidegrade_platform import _exchange
 from tidegrade_platform import _instances
+from tidegrade_platform import _lines
 from tidegrade_platform import _settings
 
 from tidegrade.adapters import _clock
@@ -100,3 +102,48 @@
     outcome = await answered(row, ready)
     assert isinstance(outcome, core.JobFailed)
     assert outcome.failure is core.Failure.LOST
+
+
+class FakeExchange:
+    """An instance that has promised term 7 and answers nothing else."""
+
+    position = core.Position(1, 5)
+
+    async def ask(self, request_id: str, text: str) -> _exchange.Answer:
+        ready = _lines.Ready('I', self.position)
+        return _exchange.Answer(('replica 1 1.5 7 0 0 1',), '-', '', '', ready)
+
+    def cut(self) -> None:
+        pass
+
+
+class SlowDuties:
+    """A platform that never answers an order."""
+
+    def __init__(self) -> None:
+        self.called = anyio.Event()
+        self.ended = False
+
+    async def promote(self, *order) -> str:
+        self.called.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self.ended = True
+
+
+async def test_an_order_that_is_taken_back_ends_its_call():
+    """Left alone, it arrived after the order of the next supervisor."""
+    duties = SlowDuties()
+
+    async def instance() -> str:
+        return 'i-1'
+
+    orders = _instances._Orders(duties, 'svc', instance)
+    conn = _instances.InstanceConn(FakeExchange(), orders)
+    with anyio.fail_after(2):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(conn.run, core.PromoteJob(7, 1))
+            await duties.called.wait()
+            conn.abort()
+    assert duties.ended
