--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -94,3 +94,26 @@
     await anyio.aclose_forcefully(near)
     with pytest.raises(anyio.BrokenResourceError):
         await far.receive()
+
+
+async def test_a_connection_that_has_ended_has_nothing_to_drop(pair):
+    """A proxy ended by itself as it gave up a call that had ended already.
+
+    What happens: a call fails because its connection ended, and is then
+    reset. Why: uvloop still shows a socket, without a descriptor, and says
+    so by another error than the system's.
+    """
+    near, _ = pair
+    net.watch(near)
+    await anyio.aclose_forcefully(near)
+    await anyio.sleep(0.05)
+    net.drop_unsent(near)
+
+
+async def test_a_connection_that_has_ended_cannot_be_watched(pair):
+    near, _ = pair
+    net.watch(near)
+    await anyio.aclose_forcefully(near)
+    await anyio.sleep(0.05)
+    with pytest.raises(OSError):
+        net.watch(near)
