Test the order of two proxies' promotions with steps that can be held

Cause: promotions with the numbers 3 and 2 were once taken in this order; which events lead to it was not known. Ruled out: nothing by this test alone. Change: a test runs two groups' tasks with the adapter of the instances, its HTTP client, stand-in instances, a table and a platform, and can hold each read, write, announcement, connection and promotion. Its first order of events: the second proxy's read of the row spans the first one's attempt, the news of the choice arrive during the read, and the first one is slow to open its connection to the platform. No product code. Before: no test forced an order of events across the tasks and the adapter.

--- /dev/null
+++ b/tests/daemon/test_promotion_order.py
@@ -0,0 +1,293 @@
+"""The order in which promotions of two proxies reach the platform.
+
+Two groups' tasks run with their adapters against stand-ins. Each of their
+steps can be held, so that a test forces one order of events.
+"""
+
+import contextlib
+import itertools
+import random
+
+import anyio
+import anyio.abc
+import attrs
+import pytest
+import result
+import tidegrade_edge
+from tidegrade_platform import __main__ as platform_main
+from tidegrade_platform import _duties
+from tidegrade_platform import _instances
+from tidegrade_platform import _settings
+
+from tidegrade.adapters import _clock
+from tidegrade.codec import _rows
+from tidegrade import config
+from tidegrade import core
+from tidegrade.daemon import _deps
+from tidegrade.daemon import _group_task
+from tidegrade.peers import _messages as messages
+from tidegrade import ports
+
+pytestmark = pytest.mark.anyio
+
+HOST = '127.0.0.1'
+KEY = messages.GroupKey('s', 'g')
+ROW_KEY = _rows.row_key('s', 'g')
+NAMES = ('a', 'b', 'c')
+ROW = core.GroupRow(1, 'a', frozenset(NAMES))
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+#: Time limit of each test, in seconds.
+LIMIT_S = 20.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+class Steps:
+    """The steps that were reached, and those that are held."""
+
+    def __init__(self) -> None:
+        self.reached: list[str] = []
+        self._held: set[str] = set()
+
+    def hold(self, *names: str) -> None:
+        self._held.update(names)
+
+    def let_go(self, *names: str) -> None:
+        self._held.difference_update(names)
+
+    async def at(self, name: str) -> None:
+        """Record a step, and wait while it is held."""
+        self.reached.append(name)
+        while name in self._held:
+            await anyio.sleep(0.002)
+
+    async def until(self, name: str, count: int = 1) -> None:
+        """Wait until a step was reached ``count`` times."""
+        while self.reached.count(name) < count:
+            await anyio.sleep(0.002)
+
+
+@attrs.define
+class Rows:
+    """The rows of the platform's table."""
+
+    values: dict[str, tuple[bytes, int]] = attrs.field(factory=dict)
+    generation: int = 0
+
+
+class HeldTable:
+    """One proxy's access to the table; asking and answering can be held."""
+
+    def __init__(self, proxy: str, rows: Rows, steps: Steps) -> None:
+        self._proxy = proxy
+        self._rows = rows
+        self._steps = steps
+
+    @property
+    def generation(self) -> int:
+        return self._rows.generation
+
+    async def read_all(self, keys):
+        await self._steps.at(f'{self._proxy} read asked')
+        found = {
+            key: ports.Versioned(
+                value, str(version), generation=self._rows.generation
+            )
+            for key, (value, version) in self._rows.values.items()
+            if key in keys
+        }
+        await self._steps.at(f'{self._proxy} read answered')
+        return result.Ok(found)
+
+    async def write(self, key: str, value: bytes, expected: str | None):
+        row = _rows.decode_row(value).unwrap()
+        kind = 'publish'
+        if row.attempt is not None:
+            kind = 'record' if row.attempt.chosen else 'claim'
+        await self._steps.at(f'{self._proxy} {kind} asked')
+        _, version = self._rows.values[key]
+        if str(version) != expected:
+            return result.Err(ports.WriteProblem.CONFLICT)
+        self._rows.values[key] = (value, version + 1)
+        await self._steps.at(f'{self._proxy} {kind} answered')
+        return result.Ok(str(version + 1))
+
+    async def scan(self, prefix: str):
+        return result.Ok({})
+
+
+class Peers:
+    """One proxy's connections to the others; news can be held."""
+
+    def __init__(self, proxy: str, site: 'Site') -> None:
+        self._proxy = proxy
+        self._site = site
+
+    def opinions(self, key: messages.GroupKey) -> tuple:
+        return ()
+
+    def serving_ids(self, key: messages.GroupKey) -> tuple:
+        return ()
+
+    def send_heartbeat_now(self) -> None:
+        pass
+
+    def announce(self, news: messages.RowNews) -> None:
+        row = _rows.decode_row(news.row).unwrap()
+        for name, task in self._site.tasks.items():
+            if name != self._proxy:
+                self._site.group.start_soon(self._tell, name, task, row)
+
+    async def ask(self, proxy: str, question: messages.GiveUp):
+        return messages.GaveUp(KEY, proxy, question.below)
+
+    async def _tell(self, name, task, row: core.GroupRow) -> None:
+        await self._site.steps.at(f'{self._proxy} tells {name}')
+        task.post(core.RowReceived(row))
+
+
+class Site:
+    """Two proxies, three instances, the table and the platform."""
+
+    def __init__(self, group: anyio.abc.TaskGroup) -> None:
+        self.group = group
+        self.steps = Steps()
+        self.rows = Rows({ROW_KEY: (_rows.encode_row(ROW), 1)})
+        self.instances = {
+            name: tidegrade_edge.Instance(name, 'svc', name, 50)
+            for name in NAMES
+        }
+        self.instances['a'].role = 'primary'
+        self.tasks: dict[str, _group_task.GroupTask] = {}
+        #: Numbers of the promotions in the order in which they were taken.
+        self.taken: list[int] = []
+        #: Time from the arrival of a promotion until it is taken, in seconds.
+        self.delays: dict[str, float] = {}
+        self._names_by_port: dict[int, str] = {}
+
+    async def start(self) -> None:
+        for instance in self.instances.values():
+            await self.group.start(instance.serve)
+        for name in ('p1', 'p2'):
+            await self._start_proxy(name)
+        for name in self.tasks:
+            await self.steps.until(f'{name} read answered')
+        while any(t.machine.row is None for t in self.tasks.values()):
+            await anyio.sleep(0.002)
+        # Each proxy knows the group longer than the shortest term.
+        await anyio.sleep(0.3)
+
+    async def _start_proxy(self, name: str) -> None:
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self._names_by_port[port] = name
+
+        async def serve(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                with contextlib.suppress(
+                    anyio.BrokenResourceError, anyio.EndOfStream
+                ):
+                    await self._take(name, stream)
+
+        self.group.start_soon(listener.serve, serve)
+        clock = _clock.MonotonicClock()
+        duties = _duties.Duties(_settings.Address(HOST, port), name, clock)
+        cfg = config.Group(
+            endpoints={
+                n: config.Endpoint(HOST, i.port, 'x')
+                for n, i in self.instances.items()
+            },
+            initial_primary='a',
+            database='svc',
+        )
+        deps = _deps.Deps(
+            proxy_id=name,
+            domain='x',
+            peers=_deps.PeerSettings(HOST, 0, ''),
+            clock=clock,
+            endpoints=_instances.Instances(name, duties, self._id_of),
+            table=HeldTable(name, self.rows, self.steps),
+            rng=random.Random(name),
+            traits=platform_main.TRAITS,
+        )
+        task = _group_task.GroupTask(KEY, cfg, 2, deps, Peers(name, self))
+        self.tasks[name] = task
+        self.group.start_soon(task.run)
+        task.post(core.Registered(True))
+
+    async def _id_of(self, address: _settings.Address) -> str:
+        for instance in self.instances.values():
+            if instance.port == address.port:
+                return instance.id
+        raise AssertionError('no instance has this address')
+
+    async def connect(self, host: str, port: int):
+        """Open a connection; one to the platform can be held."""
+        if port in self._names_by_port:
+            await self.steps.at(f'{self._names_by_port[port]} opens')
+        return await CONNECT(host, port)
+
+    async def _take(self, name: str, stream) -> None:
+        """Take promotions on one connection as the platform does."""
+        while True:
+            call = (await stream.receive()).decode().lower()
+            await anyio.sleep(self.delays.get(name, 0.0))
+            await self.steps.at(f'platform takes {name}')
+            _, _, rest = call.partition('fence-token: ')
+            self.taken.append(int(rest.partition('\r\n')[0]))
+            for instance in self.instances.values():
+                if f'"id":"{instance.id}"' in call:
+                    instance.term = max(
+                        i.term for i in self.instances.values()
+                    )
+                    instance.lead()
+            await stream.send(ANSWER)
+
+
+#: The function that opens connections, which the fixture replaces.
+CONNECT = anyio.connect_tcp
+
+
+@pytest.fixture
+async def site(monkeypatch):
+    """Yield a site whose proxies know the first row."""
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as group:
+            found = Site(group)
+            monkeypatch.setattr(anyio, 'connect_tcp', found.connect)
+            await found.start()
+            yield found
+            group.cancel_scope.cancel()
+
+
+def is_ordered(taken: list[int]) -> bool:
+    return all(one <= other for one, other in itertools.pairwise(taken))
+
+
+async def test_a_choice_announced_during_a_read_is_not_taken_over(site):
+    """A takeover decided on an older row must wait for the newer one.
+
+    The second proxy's read of the row spans the first one's whole attempt.
+    The first one is then slow to open its connection to the platform.
+    """
+    steps = site.steps
+    steps.hold('p1 claim asked', 'p2 read asked', 'p1 opens')
+    steps.hold('p2 tells p1')
+    reads = steps.reached.count('p2 read asked')
+    site.instances['a'].crash()
+    await steps.until('p1 claim asked')
+    await steps.until('p2 read asked', reads + 1)
+    steps.let_go('p1 claim asked')
+    await steps.until('p1 opens')
+    await anyio.sleep(0.2)
+    steps.hold('p1 read asked')
+    steps.let_go('p2 read asked')
+    with anyio.move_on_after(0.5):
+        await steps.until('platform takes p2')
+    steps.let_go('p1 opens')
+    await steps.until('platform takes p1')
+    await anyio.sleep(0.1)
+    assert is_ordered(site.taken)
