Test that a proxy doesn't overtake its own unanswered promotion

Cause: a proxy continues its own attempt without a wait, also when the row records a choice whose promotion was sent and not answered. The reset of the call discards what the kernel has not delivered; what the platform's kernel has received stays readable, before and after the connection is accepted. Ruled out: nothing beyond this order of events. Before: no test had a platform that is slow to take a promotion.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -23,6 +23,7 @@
 from tidegrade.codec import _rows
 from tidegrade import config
 from tidegrade import core
+from tidegrade.core import _watching
 from tidegrade.daemon import _deps
 from tidegrade.daemon import _group_task
 from tidegrade.peers import _messages as messages
@@ -164,8 +165,9 @@
         self.tasks: dict[str, _group_task.GroupTask] = {}
         #: Numbers of the promotions in the order in which they were taken.
         self.taken: list[int] = []
-        #: Time from the arrival of a promotion until it is taken, in seconds.
-        self.delays: dict[str, float] = {}
+        #: Time from the arrival of a promotion until it is taken, in
+        #: seconds, by its number.
+        self.delays: dict[int, float] = {}
         self._names_by_port: dict[int, str] = {}
 
     async def start(self) -> None:
@@ -234,10 +236,11 @@
         """Take promotions on one connection as the platform does."""
         while True:
             call = (await stream.receive()).decode().lower()
-            await anyio.sleep(self.delays.get(name, 0.0))
-            await self.steps.at(f'platform takes {name}')
             _, _, rest = call.partition('fence-token: ')
-            self.taken.append(int(rest.partition('\r\n')[0]))
+            number = int(rest.partition('\r\n')[0])
+            await anyio.sleep(self.delays.get(number, 0.0))
+            await self.steps.at(f'platform takes {name}')
+            self.taken.append(number)
             for instance in self.instances.values():
                 if f'"id":"{instance.id}"' in call:
                     instance.term = max(
@@ -291,3 +294,18 @@
     await steps.until('platform takes p1')
     await anyio.sleep(0.1)
     assert is_ordered(site.taken)
+
+
+async def test_an_unanswered_promotion_is_not_overtaken_by_its_own_proxy(site):
+    """A reset doesn't take back what the platform has received.
+
+    The call ends without an answer after its time limit. If the proxy begins
+    its next attempt at once, the platform, which is slow to take the first
+    promotion, takes the second one before it.
+    """
+    site.steps.hold('p2 claim asked')
+    site.delays[2] = _watching.TAKEOVER_AFTER_S - 0.1
+    site.instances['a'].crash()
+    await site.steps.until('platform takes p1', 2)
+    await anyio.sleep(0.1)
+    assert is_ordered(site.taken)
