Test that a promotion sent late in its lease is not overtaken

Cause: the lease of a promotion ends 0.19 s before another proxy may take the attempt over, which is the drift of the clocks. It bounds when the promotion is sent, not when the platform takes it. Change: a test in which the record's answer and the connection are slow, the promotion is sent 1.7 s after the record and taken 0.9 s later, less than the time limit of a call; no product code. Before: no test had a time between the sending and the taking.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -309,3 +309,29 @@
     await site.steps.until('platform takes p1', 2)
     await anyio.sleep(0.1)
     assert is_ordered(site.taken)
+
+
+async def test_a_promotion_sent_late_in_its_lease_is_not_overtaken(site):
+    """The lease must leave time for the promotion to reach the platform.
+
+    The answer to the record and the connection to the platform are slow, so
+    the promotion is sent just before its lease ends. It is taken 0.9 s
+    later, by which time another proxy has taken the attempt over.
+    """
+    steps = site.steps
+    steps.hold('p2 read asked', 'p1 record answered', 'p1 opens')
+    steps.hold('p2 tells p1')
+    site.delays[2] = 0.9
+    site.instances['a'].crash()
+    await steps.until('p1 record answered')
+    recorded_at = anyio.current_time()
+    steps.let_go('p2 read asked')
+    site.tasks['p2'].read_row()
+    await anyio.sleep(0.85)
+    steps.hold('p1 claim asked')
+    steps.let_go('p1 record answered')
+    await anyio.sleep(recorded_at + 1.7 - anyio.current_time())
+    steps.let_go('p1 opens')
+    await steps.until('platform takes p2')
+    await anyio.sleep(site.delays[2])
+    assert is_ordered(site.taken)
