Claim an attempt only on the row on which it was decided

Cause: a supervisor decides from the row that it knows (no row, or an attempt that has not changed for 2 s), then reads the row from the platform. The row read was compared with the newest row known by then. If news of another supervisor's attempt arrived during the read, both were that newer row, and it was claimed at once, for a reason that no longer held. The lease of the promotion counts on a takeover that comes 2 s after the choice was recorded; such a takeover came within milliseconds.

Evidence: two searches apart from each other found this order of events. The test of it through both tasks, the adapter and stand-ins takes [3, 2] on the code before.

Ruled out: a choice that is seen only by the read; the comparison ended that takeover before too.

Change: the row on which the attempt was decided is kept; only that row is claimed.

Before: test_a_choice_announced_during_the_read_is_not_taken_over and test_a_choice_announced_during_a_read_is_not_taken_over fail. After: both pass. The two tests beside the latter, on other causes, still fail.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -75,6 +75,8 @@
 
     reason: str = ''
     config_version: int = 0
+    #: The row that the reason refers to. Only this row may be claimed.
+    observed_row: _row.GroupRow | None = None
     row: _row.GroupRow | None = None
     tag: str | None = None
     next_members: frozenset[str] = frozenset()
@@ -212,6 +214,7 @@
             reason=reason,
             next_members=next_members,
             config_version=self._seen.config_version,
+            observed_row=self._seen.row,
         )
         self._controls.clear()
         self._enter(Step.READ, now)
@@ -260,9 +263,9 @@
             self._begin_setup(now)
             return
         self._commands.append(sv.AnnounceRow(event.row))
-        seen = self._seen
-        assert seen is not None
-        if seen.row is None or event.row != seen.row:
+        if event.row != self._progress.observed_row:
+            # The reason may not hold for this row. In particular, another
+            # attempt must be unchanged for a time before it is taken over.
             self._abandon('the row has changed', now)
             return
         self._claim(event, event.row, now)
