Wait for the delivery of a promotion before taking its attempt over

What callers saw: nothing yet.

Cause: the lease bounds when a promotion is sent. It ended only the drift of the clocks, 0.19 s, before a takeover. A call lasts up to a second, and so does data that the kernel holds for a process which stands still or was killed.

A lease that is shorter by the delivery, 0.8 s, also holds, and leaves slow proxies less time; a choice whose supervisor has gone waits 1.1 s longer instead.

Change: an attempt that records a choice is taken over after lease and delivery, 3.1 s; one without a choice after 2 s as before. The timeout of the call is the delivery time. The test of an old choice now names that constant and also checks that nothing happens before.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -112,6 +112,7 @@
 from tidegrade.core._types import shifted_request
 from tidegrade.core._types import Statement
 from tidegrade.core._types import Trace
+from tidegrade.core._watching import PROMOTION_DELIVERY_S
 
 __all__ = [
     'GRANT_RETURN_PERIOD_S',
@@ -120,6 +121,7 @@
     'MAX_TRUSTED_PAUSE_S',
     'NO_LOSS',
     'POSTGRESQL',
+    'PROMOTION_DELIVERY_S',
     'TERMS_PER_GENERATION',
     'Admission',
     'Adoption',
--- a/src/tidegrade/core/_watching.py
+++ b/src/tidegrade/core/_watching.py
@@ -15,13 +15,21 @@
 #: an attempt begins. A failed endpoint is polled again within about a second.
 MAJORITY_SETTLE_S = 1.5
 #: Time without a change of the row, in seconds, after which the attempt of
-#: another supervisor may be taken over.
+#: another supervisor may be taken over if it records no choice.
 TAKEOVER_AFTER_S = 2.0
 #: Lease of a promotion, in seconds: the promotion may be ordered only within
 #: this time after the row that records the choice was sent. It ends before
 #: another supervisor can take the attempt over, since a later order would have
 #: a lower term than that supervisor's.
 PROMOTION_LEASE_S = TAKEOVER_AFTER_S / _permission.MAX_DRIFT_RATIO
+#: Longest time, in seconds, from the sending of a promotion until the platform
+#: takes it. The call and its connection are given up by then.
+PROMOTION_DELIVERY_S = 1.0
+#: Time without a change of the row, in seconds, after which an attempt that
+#: records a choice may be taken over: no promotion of it is under way then.
+CHOICE_TAKEOVER_AFTER_S = (
+    PROMOTION_LEASE_S + PROMOTION_DELIVERY_S
+) * _permission.MAX_DRIFT_RATIO
 #: Time, in seconds, for which replacements of departed members must have been
 #: available before the term ends for that reason alone. Ending a term delays
 #: writes by about half a second, and several members may be replaced in
@@ -129,14 +137,24 @@
             return ''
         row_age = now - self._row_since
         if seen.row.attempt is not None:
-            own_attempt = seen.row.attempt.by == self._proxy
-            if own_attempt or row_age > TAKEOVER_AFTER_S:
+            if row_age > self._takeover_delay(seen.row.attempt):
                 return 'an attempt was not completed'
             return ''
         if row_age < MIN_TERM_S:
             return ''
         return self._reason_in_term(seen, seen.row, now)
 
+    def _takeover_delay(self, attempt: _row.Attempt) -> float:
+        """Return the time without a change after which to take over.
+
+        A proxy continues its own attempt at once.
+        """
+        if attempt.by == self._proxy:
+            return -_NEVER
+        if attempt.chosen:
+            return CHOICE_TAKEOVER_AFTER_S
+        return TAKEOVER_AFTER_S
+
     def _reason_in_term(
         self, seen: sv.Observed, row: _row.GroupRow, now: float
     ) -> str:
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -7,6 +7,7 @@
 
 from tidegrade import config
 from tidegrade import core
+from tidegrade.core import _permission
 from tidegrade.core import _watching
 from tidegrade.core import supervision
 
@@ -87,9 +88,21 @@
     assert claims(other.tell(supervision.RowRead(CHOSEN, '3'))) == []
 
 
-def test_an_old_choice_is_taken_over(other):
+def test_a_choice_is_taken_over_once_its_promotion_has_arrived(other):
+    """The promotion is sent within its lease and then delivered or dropped."""
     other.tell(supervision.RowRead(CHOSEN, '3'))
-    commands = other.observe_for(CHOSEN, _watching.TAKEOVER_AFTER_S + 1.0)
-    assert commands == [supervision.ReadRow()]
+    delay = _watching.CHOICE_TAKEOVER_AFTER_S
+    assert other.observe_for(CHOSEN, delay) == []
+    assert other.observe_for(CHOSEN, 1.0) == [supervision.ReadRow()]
     (claim,) = claims(other.tell(supervision.RowRead(CHOSEN, '3')))
     assert claim.row.attempt.next_term == 3
+
+
+def test_the_lease_and_the_delivery_end_before_a_choice_is_taken_over():
+    longest = (
+        _watching.PROMOTION_LEASE_S + _watching.PROMOTION_DELIVERY_S
+    ) * (1 + _permission.MAX_CLOCK_DRIFT)
+    shortest = _watching.CHOICE_TAKEOVER_AFTER_S * (
+        1 - _permission.MAX_CLOCK_DRIFT
+    )
+    assert longest <= shortest + 1e-9
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -8,6 +8,9 @@
 from tidegrade_platform import _duties
 from tidegrade_platform import _settings
 
+from tidegrade import core
+from tidegrade import net
+
 pytestmark = pytest.mark.anyio
 
 HOST = '127.0.0.1'
@@ -88,3 +91,9 @@
     problem = await duties.promote('svc', 'i-1', 7, clock.now() + 1.0)
     assert 'too late to be sent' in problem
     assert sent == []
+
+
+def test_nothing_of_a_promotion_is_delivered_after_a_takeover_waited_for_it():
+    """The process may be stopped or killed, so the kernel must drop it."""
+    assert _duties.CALL_TIMEOUT_S <= core.PROMOTION_DELIVERY_S
+    assert net.SILENCE_TIMEOUT_S <= core.PROMOTION_DELIVERY_S
