Wait for an own promotion that may be under way before the next attempt

What callers saw: nothing yet.

Cause: a proxy continued its own attempt without a wait, also after it had sent the attempt's promotion and got no answer. Resetting the call discards what the kernel has not delivered; what the platform's kernel has received stays readable there.

Change: an own attempt for which a promotion was ordered is taken over after the same time as that of another proxy. One without an order is continued at once as before: a new test checks it.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -475,6 +475,7 @@
             )
             return
         self._enter(Step.PROMOTE, now)
+        self._watch.promotion_ordered(row.attempt.id)
         # A late result of an earlier step's job must not be taken for the
         # result of the promotion.
         self._controls.clear()
--- a/src/tidegrade/core/_watching.py
+++ b/src/tidegrade/core/_watching.py
@@ -62,6 +62,12 @@
         self._reason_since: float | None = None
         self._next_members: frozenset[str] = frozenset()
         self._replaceable_since = _NEVER
+        #: Id of the latest attempt for which this proxy ordered a promotion.
+        self._promoted_attempt = ''
+
+    def promotion_ordered(self, attempt_id: str) -> None:
+        """Record that this proxy orders the promotion of an attempt."""
+        self._promoted_attempt = attempt_id
 
     def observe(self, seen: sv.Observed, now: float) -> None:
         """Record an observation of the group."""
@@ -147,9 +153,11 @@
     def _takeover_delay(self, attempt: _row.Attempt) -> float:
         """Return the time without a change after which to take over.
 
-        A proxy continues its own attempt at once.
+        A proxy continues its own attempt at once, unless it ordered its
+        promotion: that one may still be under way, and the platform may take
+        it after a promotion that is sent later.
         """
-        if attempt.by == self._proxy:
+        if attempt.by == self._proxy and attempt.id != self._promoted_attempt:
             return -_NEVER
         if attempt.chosen:
             return CHOICE_TAKEOVER_AFTER_S
--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -106,3 +106,10 @@
         1 - _permission.MAX_CLOCK_DRIFT
     )
     assert longest <= shortest + 1e-9
+
+
+def test_an_own_choice_without_a_promotion_is_continued_at_once():
+    """The write of the choice was given up and took effect later."""
+    watcher = Watcher('p1')
+    watcher.observe(ROW)
+    assert watcher.observe(CHOSEN) == [supervision.ReadRow()]
