Test that a choice lost by a restore of the table is not overtaken

Cause: a lease is kept by the row that shows the choice. When the table is restored from an older copy and the news of the choice are late, another proxy sees an old row, begins its attempt at once and waits only for the permissions to expire, 1.1 s; the lease is 1.8 s. Ruled out: the order does not need the causes of the tests before. Change: a test with a restore after the first proxy checked the endpoint; a step for the look-up of the endpoint's id. No product code. Before: no test had a restore between a choice and its promotion.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import itertools
 import random
 
@@ -210,7 +211,9 @@
             domain='x',
             peers=_deps.PeerSettings(HOST, 0, ''),
             clock=clock,
-            endpoints=_instances.Instances(name, duties, self._id_of),
+            endpoints=_instances.Instances(
+                name, duties, functools.partial(self._id_of, name)
+            ),
             table=HeldTable(name, self.rows, self.steps),
             rng=random.Random(name),
             traits=platform_main.TRAITS,
@@ -220,7 +223,8 @@
         self.group.start_soon(task.run)
         task.post(core.Registered(True))
 
-    async def _id_of(self, address: _settings.Address) -> str:
+    async def _id_of(self, name: str, address: _settings.Address) -> str:
+        await self.steps.at(f'{name} asks id')
         for instance in self.instances.values():
             if instance.port == address.port:
                 return instance.id
@@ -335,3 +339,31 @@
     await steps.until('platform takes p2')
     await anyio.sleep(site.delays[2])
     assert is_ordered(site.taken)
+
+
+async def test_a_choice_lost_by_a_restore_of_the_table_is_not_overtaken(site):
+    """A table restored from an older copy doesn't show the choice.
+
+    The other proxy doesn't know of the choice either, since the news of it
+    are late. It begins an attempt in the new generation while the lease of
+    the lost choice still runs. The first proxy has checked the endpoint
+    before the restore, and then waits for the platform.
+    """
+    steps = site.steps
+    steps.hold('p2 read asked', 'p1 asks id', 'p1 opens')
+    steps.hold('p1 tells p2', 'p2 tells p1')
+    older = dict(site.rows.values)
+    site.instances['a'].crash()
+    await steps.until('p1 asks id')
+    checked_at = anyio.current_time()
+    steps.hold('p1 read asked')
+    site.rows.values = older
+    site.rows.generation += 1
+    steps.let_go('p2 read asked')
+    await anyio.sleep(0.9)
+    steps.let_go('p1 asks id')
+    await anyio.sleep(checked_at + 1.65 - anyio.current_time())
+    steps.let_go('p1 opens')
+    await steps.until('platform takes p2')
+    await anyio.sleep(0.3)
+    assert is_ordered(site.taken)
