Test that an order to follow is cancelled once an attempt is seen

It cancels the jobs of its own attempts, but not these orders when another supervisor's attempt appears. RESUME clears a promise, so one that arrives after SUSPEND undoes the fence. Ruled out: nothing beyond this order. Change: a test of the supervisor alone; no product code. Before: no test had an order to follow on its way during an attempt. After: test_an_order_to_follow_is_cancelled_once_an_attempt_is_seen fails on this code.

--- a/tests/core/test_takeover.py
+++ b/tests/core/test_takeover.py
@@ -34,7 +34,11 @@
     def tell(self, event: supervision.SupervisorEvent) -> list:
         return self.supervisor.handle(event, self.now)
 
-    def observe(self, row: core.GroupRow) -> list:
+    def observe(
+        self,
+        row: core.GroupRow,
+        replicas_to_repair: frozenset[str] = frozenset(),
+    ) -> list:
         return self.tell(
             supervision.Observed(
                 cfg=CFG,
@@ -44,7 +48,7 @@
                 opinions=(),
                 peers=(),
                 leaving=frozenset(),
-                replicas_to_repair=frozenset(),
+                replicas_to_repair=replicas_to_repair,
                 reachable=frozenset(NAMES),
             )
         )
@@ -113,3 +117,14 @@
     watcher = Watcher('p1')
     watcher.observe(ROW)
     assert watcher.observe(CHOSEN) == [supervision.ReadRow()]
+
+
+def test_an_order_to_follow_is_cancelled_once_an_attempt_is_seen():
+    """An order that arrives late would clear the promise of a fence."""
+    watcher = Watcher('p2')
+    led = attrs.evolve(ROW, term=2, primary='b')
+    orders = watcher.observe(led, replicas_to_repair=frozenset('c'))
+    assert [o.endpoint for o in orders] == ['c']
+    attempt = core.Attempt('x', 'p1', next_term=3)
+    commands = watcher.observe(attrs.evolve(led, attempt=attempt))
+    assert supervision.CancelControls() in commands
