Cancel orders to follow once an attempt is known

What callers saw: nothing shown. A replica that had been fenced for the next term could lose its promise, so that the former term's permission could be granted again until the next primary leads.

Cause: while a supervisor watches, nothing cancelled an order to follow that had not ended, although another supervisor had begun an attempt; its own attempt forgot such an order without ending it. RESUME clears whatever promise an instance holds.

Evidence: test_an_order_to_follow_is_cancelled_once_an_attempt_is_seen fails without the change.

Ruled out: new orders during an attempt; replicas_to_repair is empty then.

Change: control jobs that have not ended are cancelled when a row with an attempt is observed, and when an own attempt begins.

Before: the test fails. After: it passes.

An order that the kernel already holds, or that is between its two steps at the adapter, can still arrive late.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -155,6 +155,10 @@
         if self._step is not Step.WATCH:
             self._advance(now)
             return
+        if event.row is not None and event.row.attempt is not None:
+            # An order to follow that arrives late would clear the promise of
+            # an endpoint that the attempt has fenced.
+            self._cancel_controls()
         reason = self._watch.reason_to_end_term(event, now)
         if not reason:
             self._order_follow(now)
@@ -216,7 +220,7 @@
             config_version=self._seen.config_version,
             observed_row=self._seen.row,
         )
-        self._controls.clear()
+        self._cancel_controls()
         self._enter(Step.READ, now)
         self._commands.append(sv.ReadRow())
 
@@ -231,11 +235,15 @@
         reach the primary of a later term.
         """
         self._commands.append(sv.WriteLog('attempt_abandoned', why))
+        self._cancel_controls()
+        self._step = Step.WATCH
+        self._retry_at = now + self._rng.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S)
+
+    def _cancel_controls(self) -> None:
+        """Cancel the control jobs that have not ended."""
         if self._controls:
             self._controls.clear()
             self._commands.append(sv.CancelControls())
-        self._step = Step.WATCH
-        self._retry_at = now + self._rng.uniform(MIN_BACKOFF_S, MAX_BACKOFF_S)
 
     def _advance(self, now: float) -> None:
         """Check the time limit and repeat requests that are due."""
