Log each attempt that was claimed with the one that it replaces

Cause: the logs told who began to claim an attempt (1302), not whose claim the platform took nor which attempt it replaced.

Ruled out: a field in 1302; it is written before the claim.

Change: event 1310 with the term, and the replaced attempt's term, proxy and whether it had recorded a choice.

Before: no event.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -315,12 +315,28 @@
         if self._step is Step.SETUP:
             self._step = Step.WATCH
         elif self._step is Step.CLAIM:
+            self._log_claim()
             self._fence(now)
         elif self._step is Step.RECORD:
             self._promote(now)
         elif self._step is Step.PUBLISH:
             self._published(event.row, now)
 
+    def _log_claim(self) -> None:
+        """Log the attempt that was claimed and the one that it replaces."""
+        claimed, observed = self._progress.row, self._progress.observed_row
+        assert claimed is not None and claimed.attempt is not None
+        assert observed is not None
+        detail = f'term {claimed.attempt.next_term}'
+        former = observed.attempt
+        if former is not None:
+            state = 'with' if former.chosen else 'without'
+            detail += (
+                f', replacing term {former.next_term} of {former.by}, '
+                f'{state} a recorded choice'
+            )
+        self._commands.append(sv.WriteLog('attempt_claimed', detail))
+
     def _row_lost(self, event: sv.RowRequestFailed, now: float) -> None:
         if self._step is Step.PUBLISH and not event.conflict:
             # The endpoint is already promoted, so the write is repeated
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -42,6 +42,7 @@
 
 _NOTE_EVENTS = {
     'term_ending': logs.LogEvent.TERM_ENDING,
+    'attempt_claimed': logs.LogEvent.ATTEMPT_CLAIMED,
     'term_begun': logs.LogEvent.TERM_BEGUN,
     'attempt_abandoned': logs.LogEvent.ATTEMPT_ABANDONED,
 }
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -110,6 +110,11 @@
         logging.WARNING,
         'this proxy requests the promotion of an endpoint',
     )
+    ATTEMPT_CLAIMED = (
+        1310,
+        logging.WARNING,
+        'this proxy has claimed an attempt to begin a term',
+    )
     PEER_REFUSED = (1401, logging.WARNING, 'input from a peer was rejected')
     PEER_SILENT = (
         1404,
