Show the wait after a promotion that the platform refused

What callers saw: not measured with callers. A group whose promotion was refused stays without a primary for 3 s longer than before.

Cause: a proxy waits for the delivery of each promotion that its supervisor ordered, also if the platform has answered with a refusal, or if nothing was sent. Then nothing is under way.

Change: a test. The code is unchanged.

Before and after: the test fails, 3.2 s between the refusal of a promotion and the next one, 3 of 3 runs.

Result: open.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -38,6 +38,7 @@
 NAMES = ('a', 'b', 'c')
 ROW = core.GroupRow(1, 'a', frozenset(NAMES))
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+REFUSAL = b'HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n'
 #: Time limit of each test, in seconds.
 LIMIT_S = 20.0
 
@@ -367,3 +368,29 @@
     await steps.until('platform takes p2')
     await anyio.sleep(0.3)
     assert is_ordered(site.taken)
+
+
+async def test_a_promotion_that_the_platform_refused_is_not_waited_for(site):
+    """A refused promotion can't be taken later than the next one.
+
+    Without a promotion on its way, a wait only extends the time without a
+    primary: the platform refuses calls beyond its rate, and promotions of
+    instances that do not run.
+    """
+    refused_at: list[float] = []
+    taken_at: list[float] = []
+
+    async def take(name: str, stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        if refused_at:
+            taken_at.append(anyio.current_time())
+            await anyio.sleep_forever()
+        refused_at.append(anyio.current_time())
+        await stream.send(REFUSAL)
+
+    site._take = take
+    site.steps.hold('p2 claim asked')
+    site.instances['a'].crash()
+    while not taken_at:
+        await anyio.sleep(0.002)
+    assert taken_at[0] - refused_at[0] < _watching.TAKEOVER_AFTER_S
