Show that an order to follow ends the fence of another proxy

What callers saw: nothing yet. Fenced replicas lose their promise between the choice and the promotion; they follow the old primary and grant its term again.

Cause: a promise of any term counts as left over from the start of the term. A proxy that knows no attempt, since the news and its read of the row are slow, orders the replicas that another one has just fenced to follow.

Ruled out: the time for which promises stay after the start of a term; it has passed in the test, as in any older term.

Change: a test, through both tasks, the adapter and stand-ins. The code is unchanged.

Result: open.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -24,6 +24,7 @@
 from tidegrade.codec import _rows
 from tidegrade import config
 from tidegrade import core
+from tidegrade.core import _state
 from tidegrade.core import _watching
 from tidegrade.daemon import _deps
 from tidegrade.daemon import _group_task
@@ -394,3 +395,34 @@
     while not taken_at:
         await anyio.sleep(0.002)
     assert taken_at[0] - refused_at[0] < _watching.TAKEOVER_AFTER_S
+
+
+async def test_an_order_to_follow_does_not_end_another_proxys_fence(site):
+    """A fence must hold from the choice to the promotion.
+
+    The first proxy can't reach the primary, and fences the replicas. The
+    second one reaches all, and its news and reads of the row are slow. It
+    takes the new promises for those of its own term.
+    """
+    steps = site.steps
+    task = site.tasks['p1']
+    connect = task._deps.endpoints.connect
+
+    async def connect_to_replicas(endpoint, group, tenant):
+        if endpoint.port == site.instances['a'].port:
+            return result.Err(ports.ConnectProblem('cut', refused=True))
+        return await connect(endpoint, group, tenant)
+
+    await anyio.sleep(_state.FENCE_RETENTION_S)
+    steps.hold('p1 tells p2', 'p2 read asked', 'p1 record asked')
+    task._deps.endpoints.connect = connect_to_replicas
+    for conn in task._conns.values():
+        if conn._endpoint.port == site.instances['a'].port:
+            conn.stop()
+    await steps.until('p1 record asked')
+    replicas = [site.instances[name] for name in ('b', 'c')]
+    assert [r.held for r in replicas] == [2, 2]
+    with anyio.move_on_after(1.0):
+        while all(r.held == 2 for r in replicas):
+            await anyio.sleep(0.002)
+    assert [r.held for r in replicas] == [2, 2]
