Show that an order aborted before its call is sent nevertheless

What callers saw: nothing yet. A promotion is ordered for an attempt that has been abandoned.

Cause: an abort cancels the call to the platform, and closes the connection to the instance. During the read of the instance's id neither is in use, and the call follows it. Its lease still bounds the time of the call.

Ruled out: an abort during the call; test_an_aborted_order_cancels_its_call passes.

Change: a test of the adapter. The code is unchanged.

Result: open.

--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -145,3 +145,42 @@
             await duties.called.wait()
             conn.abort()
     assert duties.ended
+
+
+class TakenDuties:
+    """A platform that takes every promotion."""
+
+    def __init__(self) -> None:
+        self.taken: list[int] = []
+
+    async def promote(
+        self, service: str, instance: str, fence: int, until: float
+    ) -> str:
+        self.taken.append(fence)
+        return ''
+
+
+async def test_an_order_aborted_before_its_call_is_not_sent():
+    """The read of the instance's id lasts up to a second.
+
+    An abort in that time must prevent the call that follows it.
+    """
+    duties = TakenDuties()
+    reading, listed = anyio.Event(), anyio.Event()
+
+    async def instance() -> str:
+        reading.set()
+        await listed.wait()
+        return 'i-1'
+
+    promotion_target = _instances._PromotionTarget(duties, 'svc', instance)
+    conn = _instances.InstanceConn(FakeExchange(), promotion_target)
+    with anyio.fail_after(2):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(conn.run, core.PromoteJob(7, 1))
+            await reading.wait()
+            conn.abort()
+            listed.set()
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+    assert duties.taken == []
