Show that a killed process leaves its promotion to the kernel

What callers saw: nothing yet. The kernel delivers the bytes of a promotion after the death of the process that sent it.

Cause: the connection is set to discard unsent data only when a call is given up. The kernel of a killed process closes it as usual. The only bound is then TCP_USER_TIMEOUT, equal to the delivery time without a margin.

Ruled out: a process that stands still; it can only rely on the timeout.

Change: a test. The code is unchanged.

Result: open.

--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -1,11 +1,14 @@
 """Promotion calls, and the time until which they may be sent."""
 
 import contextlib
+import socket
+import struct
 
 import anyio
 import anyio.abc
 import pytest
 from tidegrade_platform import _duties
+from tidegrade_platform import _http
 from tidegrade_platform import _settings
 
 from tidegrade import core
@@ -97,3 +100,26 @@
     """The process may be stopped or killed, so the kernel must drop it."""
     assert _duties.CALL_TIMEOUT_S <= core.PROMOTION_DELIVERY_S
     assert net.SILENCE_TIMEOUT_S <= core.PROMOTION_DELIVERY_S
+
+
+async def test_the_kernel_resets_the_connection_of_a_killed_process(
+    platform, clock, monkeypatch
+):
+    """Bytes that a cut path holds must be lost with their process.
+
+    Otherwise the kernel closes the connection as usual and delivers them
+    once the path is back.
+    """
+    address, _ = platform
+    lingers = []
+    exchange = _http._Connection.exchange
+
+    async def watched(self, *call) -> _http.HttpResponse:
+        sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        lingers.append(sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8))
+        return await exchange(self, *call)
+
+    monkeypatch.setattr(_http._Connection, 'exchange', watched)
+    duties = _duties.Duties(address, 'p1', clock)
+    assert await duties.promote('svc', 'i-1', 7, clock.now() + 1.0) == ''
+    assert lingers == [struct.pack('ii', 1, 0)]
