Leave a promise of a later term to the attempt that it belongs to

What callers saw: nothing shown. An attempt to replace a primary could lose its fence, and with it three seconds; between choice and promotion the former term's permission could be granted again.

Cause: any promise that a replica reports counted as left over from this term. A proxy that is first in turn, and hears of an attempt late, ordered the replicas that the attempt had fenced to follow, which clears their promise.

Evidence: test_an_order_to_follow_does_not_end_another_proxys_fence, through both tasks, the adapter and stand-ins: a promise of 0 in place of 2, 3 of 3.

Ruled out: the time for which promises are left after the start of a term; it has passed in any term older than 1.2 s.

Change: only promises up to the row's term count as left over.

Before: the test fails. After: it passes.

An order that is already on its way can still arrive late (tests/platform/test_late_orders.py).

--- a/src/tidegrade/core/_exchange.py
+++ b/src/tidegrade/core/_exchange.py
@@ -18,7 +18,8 @@
     If a promise stops replication, these are the replicas that still report
     one; otherwise any replica may follow the wrong endpoint. Such a promise
     is left in place for some time after the start of the term, since
-    removing it ends the fencing.
+    removing it ends the fencing. A promise of a later term belongs to an
+    attempt that this proxy has not heard of yet.
     """
     if state.row is None or state.row.attempt is not None:
         return frozenset()
@@ -29,7 +30,9 @@
         return frozenset()
     reports = {name: state.views[name].report for name in names}
     return frozenset(
-        name for name, seen in reports.items() if seen and seen.promised
+        name
+        for name, seen in reports.items()
+        if seen and seen.promised and seen.promised <= state.row.term
     )
 
 
