Log the request that is cut as its connection is ended

What on-call saw: a stop that passes its limit (1004) counts the sessions that are cut and does not name their requests.

Cause: no line was written for a request whose task is cancelled.

Ruled out: a line for each request that is read; too many lines.

Change: event 1012 with the id of the request, within the limit for such lines.

Before: no event.

--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -37,6 +37,7 @@
         logging.INFO,
         'a request arrived as its session was closed',
     )
+    REQUEST_CUT = (1012, logging.WARNING, 'a request got no answer')
     REGISTERED = (
         1101,
         logging.INFO,
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -16,6 +16,7 @@
 from tidegrade_platform import _settings
 
 from tidegrade import core
+from tidegrade import logs
 from tidegrade import sessions
 from tidegrade import tenants
 
@@ -266,3 +267,29 @@
     harness.listener.close_idle()
     await slow_passes(SLOW_PASSES_S[-1])
     assert await received(idle_socket) == b''
+
+
+@pytest.fixture
+def logged(monkeypatch) -> list[tuple[logs.LogEvent, dict]]:
+    """The events that are logged, with their fields."""
+    lines: list[tuple[logs.LogEvent, dict]] = []
+    monkeypatch.setattr(
+        logs, 'write_bounded', lambda event, **f: lines.append((event, f))
+    )
+    return lines
+
+
+async def test_a_request_that_the_end_of_the_process_cuts_is_logged(logged):
+    """A request without an answer was in no line of the log."""
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        await harness.start()
+        served = await harness.caller()
+        await served.ask('READ x')
+        harness.service.group.may_answer = anyio.Event()
+        cut = await harness.caller()
+        await cut.send('QUERY u7 READ x')
+        await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+    found = [f for e, f in logged if e is logs.LogEvent.REQUEST_CUT]
+    assert [fields['request'] for fields in found] == ['u7']
