Close a stand-in's listener before its accept is cancelled

Cause: an instance or relay was cancelled while a connection became ready in the same round of the event loop. asyncio then takes the connection for a future that was cancelled.

Ruled out: the product; its proxies run in processes of their own.

Change: the accept is shielded from the cancellation and ended by closing the listener, which stops the event loop from looking at the socket first.

--- a/standins/tidegrade_edge/_instance.py
+++ b/standins/tidegrade_edge/_instance.py
@@ -6,6 +6,8 @@
 import anyio.abc
 import attrs
 
+from tidegrade_edge import _listening
+
 #: How long after meeting the new primary an old one goes on.
 OLD_PRIMARY_GOES_ON = 1.0
 
@@ -180,8 +182,7 @@
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         with anyio.CancelScope() as self._scope:
             task_status.started()
-            async with listener:
-                await listener.serve(self._handle)
+            await _listening.serve_until_cancelled(listener, self._handle)
 
     def crash(self) -> None:
         """End at once; every connection breaks."""
--- a/standins/tidegrade_edge/_relay.py
+++ b/standins/tidegrade_edge/_relay.py
@@ -9,6 +9,8 @@
 import anyio.abc
 import attrs
 
+from tidegrade_edge import _listening
+
 #: Bytes passed on at once.
 CHUNK = 65536
 #: The same where the rate is bounded: a few packets.
@@ -74,8 +76,7 @@
         )
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         task_status.started()
-        async with listener:
-            await listener.serve(self._handle)
+        await _listening.serve_until_cancelled(listener, self._handle)
 
     def silence(
         self,
