Let clients close idle connections to the control ports first

Cause: the control server closed connections after 5 s without a request; the client keeps them for 5 s too. A request that arrives as the server closes is lost.

Ruled out: a full backlog, which refuses new connections and breaks none.

Change: the control server keeps idle connections for 60 s.

--- a/standins/tidegrade_standins/_control.py
+++ b/standins/tidegrade_standins/_control.py
@@ -13,6 +13,11 @@
 
 F = typing.TypeVar('F')
 
+#: Time after which an idle connection is closed, in seconds: longer than
+#: clients keep one (5 s for httpx), so that the client is the first to close
+#: it. A connection that closes while a request arrives breaks the request.
+KEEP_ALIVE_S = 60
+
 _converter = cattrs.Converter(forbid_extra_keys=True)
 
 
@@ -47,5 +52,6 @@
         ssl_certfile=cert_file or None,
         ssl_keyfile=key_file or None,
         timeout_graceful_shutdown=1,
+        timeout_keep_alive=KEEP_ALIVE_S,
     )
     await uvicorn.Server(cfg).serve()
