Log the term and the age of the position that a read names

Cause: 1603 gave `after` without its term, and `term` is that of the row. A read that was based on the position of a former term looked like one of the current term, so the log of a stale read could not tell which evidence had dated it.

Ruled out: a new event for each read, which would double the lines.

Change: the trace of a request has `after_term` and `after_age`, absent if the read named no position. 1603 and 1604 log them as `after_term` and `after_age_ms`.

Before: the test of the former term fails, since the trace has no such field.

After: it passes, and so does the test of a read at a permitted primary.

The tests of edge, system and proofs were not run.

--- a/src/tidegrade/core/_pending.py
+++ b/src/tidegrade/core/_pending.py
@@ -13,7 +13,9 @@
     ``commit_sent`` is true if an earlier attempt may have committed, so the
     request can no longer be refused as not run. ``sent_to`` is the endpoint
     that is serving the request, ``last_sent_to`` the endpoint of the last
-    attempt. ``after`` is the position that a read requires.
+    attempt. ``after`` is the position that a read requires, ``after_term``
+    its term if the read names it to the endpoint, and ``after_at`` the time
+    by which the primary was known to have reached it.
     ``needs_permission`` is true if the last attempt to place the request
     failed because the proxy did not hold the permission to acknowledge.
     """
@@ -27,6 +29,8 @@
     sent_to: str = ''
     last_sent_to: str = ''
     after: int | None = None
+    after_term: int | None = None
+    after_at: float | None = None
     waiting_for: _types.Code = _types.Code.OVERLOADED
     results: tuple[_types.ResultSet, ...] = ()
     confirm_lsn: int = 0
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -297,6 +297,8 @@
         req = pending.req
         after = need.after
         pending.after = need.lsn if after is None else after.lsn
+        pending.after_term = None if after is None else after.term
+        pending.after_at = need.reached_at
         setup = _setup.setup_for(conn, req, req.statements)
         if req.kind is _types.Kind.BEGIN:
             return _jobs.StartJob(
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -104,8 +104,16 @@
             sent_to=pending.last_sent_to,
             after=pending.after,
             permission_left=left,
+            after_term=pending.after_term,
+            after_age=self._after_age(pending),
         )
 
+    @staticmethod
+    def _after_age(pending: _pending.Pending) -> float | None:
+        if pending.after_term is None or pending.after_at is None:
+            return None
+        return pending.arrived - pending.after_at
+
     def refuse(
         self,
         pending: _pending.Pending,
--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -180,9 +180,12 @@
 
     ``tries`` counts the endpoints that the request was sent to, ``misses``
     those that executed nothing, and ``sent_to`` is the last endpoint. A
-    read required data at or past ``after``, a position in ``term``.
-    ``permission_left`` is the remaining validity of the permission to
-    acknowledge, in seconds. ``via`` is the proxy that served the request
+    read required data at or past ``after``. If the read named that position
+    to the endpoint, ``after_term`` is its term as the endpoint counts it,
+    which may be a former one, and ``after_age`` is how long before the
+    arrival of the request the primary was known to have reached it, in
+    seconds. ``permission_left`` is the remaining validity of the permission
+    to acknowledge, in seconds. ``via`` is the proxy that served the request
     on behalf of this one.
     """
 
@@ -193,6 +196,8 @@
     after: int | None = None
     permission_left: float | None = None
     via: str = ''
+    after_term: int | None = None
+    after_age: float | None = None
 
 
 @attrs.frozen
--- a/src/tidegrade/session_proxy/_command_records.py
+++ b/src/tidegrade/session_proxy/_command_records.py
@@ -100,6 +100,10 @@
             fields['misses'] = trace.misses
             fields['endpoint'] = trace.sent_to
             fields['after'] = trace.after
+            if trace.after_term is not None:
+                fields['after_term'] = trace.after_term
+            if trace.after_age is not None:
+                fields['after_age_ms'] = round(trace.after_age * 1000, 1)
             if trace.via:
                 fields['via'] = trace.via
         if trace is not None and trace.permission_left is not None:
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -324,3 +324,24 @@
     checking.read(3, max_age=0.5)
     (_, job) = reads(checking)[0]
     assert job.after == core.Position(2, 1)
+
+
+def test_the_trace_names_the_former_term_that_a_read_is_based_on(checking):
+    """Guards against a stale read whose log does not show its basis.
+
+    The position of a former term was logged as one of the current term, so
+    the log did not tell whether the read was based on former evidence.
+    """
+    checking.new_term()
+    checking.tick()
+    checking.read(1, max_age=2.0)
+    trace = checking.answers[1].trace
+    assert (trace.term, trace.after_term, trace.after) == (2, 1, 100)
+    assert 0.0 <= trace.after_age <= 2.0
+
+
+def test_the_trace_of_a_read_at_a_permitted_primary_names_no_term(checking):
+    checking.read(1, max_age=0.0)
+    trace = checking.answers[1].trace
+    assert trace.after_term is None
+    assert trace.after_age is None
