Don't date the position of an earlier answer by a later one

What callers saw: nothing that is shown.

Cause: an instance may name `-` as its position. The connection then kept the position of its former answer, and the report passed it on as that of this answer. The primary's position was so dated by the later request, and a replica at that position could serve a read although it lacked writes that were acknowledged in between.

Ruled out: a report without any position, or none at all. An answer also shows that the endpoint is up, and that its data is of a term; a primary that is only busy would have counted as silent.

Change: a report says whether it repeats a position. Such a report is no sample of the primary's position and no measure of a replica's delay.

Before: with the check in observe() disabled, the core's test fails: the read goes to b with AFTER 1.100.

After: both tests pass.

Open: the position of a commit whose answer names none is still taken from the former answer.

--- a/src/tidegrade/core/_reports.py
+++ b/src/tidegrade/core/_reports.py
@@ -30,6 +30,10 @@
         state.emit(_events.FetchRow())
     if not state.is_current(name, report):
         return
+    if report.repeats_position:
+        # An earlier position must not be dated by this request: a replica
+        # at that position may lack later writes.
+        return
     if name == row.primary:
         state.record_position(sent_at, report.lsn)
     else:
--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -236,7 +236,9 @@
     data itself. ``promised`` is the lowest term for which this endpoint
     still grants write permission. Some endpoints return only a short report
     with each statement; it leaves ``in_recovery`` and ``promised`` unknown
-    (None).
+    (None). With ``repeats_position`` the answer named no position, and the
+    one given here is that of an earlier answer: the endpoint has reached it,
+    but nothing shows that it had not reached a later one by then.
     """
 
     in_recovery: bool | None
@@ -244,6 +246,7 @@
     received_lsn: int
     marker: int
     promised: int | None
+    repeats_position: bool = False
 
 
 class InvariantBroken(AssertionError):
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -326,6 +326,34 @@
     assert job.after == core.Position(2, 1)
 
 
+def test_a_position_of_an_earlier_answer_is_not_dated_by_a_later_one(
+    checking,
+):
+    """Guards against stale reads after an answer that names no position.
+
+    A busy primary refuses a statement, and the refusal repeats the position
+    of an earlier answer. Dated by the refused request, that position let a
+    replica that lacked acknowledged writes serve the read.
+    """
+    checking.reports['a'] = machines.report(
+        100, in_recovery=False, repeats_position=True
+    )
+    for _ in range(60):
+        checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=0.5)
+    assert [(name, job.after) for name, job in reads(checking)] == [
+        ('a', None)
+    ]
+    checking.reports['a'] = machines.report(200, in_recovery=False)
+    for _ in range(60):
+        checking.tick()
+    checking.jobs.clear()
+    checking.read(2, max_age=0.5)
+    (_, job) = reads(checking)[0]
+    assert job.after == core.Position(1, 200)
+
+
 def test_the_trace_names_the_former_term_that_a_read_is_based_on(checking):
     """Guards against a stale read whose log does not show its basis.
 
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -102,6 +102,18 @@
     assert outcome.failure is core.Failure.LOST
 
 
+async def test_an_answer_without_a_position_says_so(asked):
+    """Guards against reads based on a position that is dated too young.
+
+    The position of an earlier answer was passed on like one of this answer.
+    A replica at that position may lack writes that were acknowledged since.
+    """
+    found = await asked('primary 1 1.9 0 0 1 4', '-')
+    assert (found.lsn, found.repeats_position) == (5, True)
+    found = await asked('primary 1 1.9 0 0 1 4', '1.9')
+    assert (found.lsn, found.repeats_position) == (9, False)
+
+
 class FakeExchange:
     """An instance that answers every statement: it has promised term 7."""
 
