Name a new term's members in the log

Cause: no event told which endpoints vote in a term.

Change: 1301 has `members`.

Before: the event had `group`, `term` and `primary`.

After: show three members for each of three groups.

--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -284,6 +284,7 @@
                 group=str(self.key),
                 term=row.term,
                 primary=row.primary,
+                members=sorted(row.members),
             )
 
     def _observe(self) -> None:
