--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -180,9 +180,12 @@
 
     ``tries`` counts the endpoints that the request was sent to, ``misses``
     those that executed nothing, and ``sent_to`` is the last endpoint. A
-    read required data at or past ``after``, a position in ``term``.
-    ``permission_left`` is the remaining validity of the permission to
-    acknowledge, in seconds. ``via`` is the proxy that served the request
+    read required data at or past ``after``. If the read named that position
+    to the endpoint, ``after_term`` is its term as the endpoint counts it,
+    which may be a former one, and ``after_age`` is how long before the
+    arrival of the request the primary was known to have reached it, in
+    seconds. ``permission_left`` is the remaining validity of the permission
+    to acknowledge, in seconds. ``via`` is the proxy that served the request
     on behalf of this one.
     """
 
@@ -193,6 +196,8 @@
     after: int | None = None
     permission_left: float | None = None
     via: str = ''
+    after_term: int | None = None
+    after_age: float | None = None
 
 
 @attrs.frozen
@@ -231,7 +236,9 @@
     data itself. ``promised`` is the lowest term for which this endpoint
     still grants write permission. Some endpoints return only a short report
     with each statement; it leaves ``in_recovery`` and ``promised`` unknown
-    (None).
+    (None). With ``repeats_position`` the answer named no position, and the
+    one given here is that of an earlier answer: the endpoint has reached it,
+    but nothing shows that it had not reached a later one by then.
     """
 
     in_recovery: bool | None
@@ -239,6 +246,7 @@
     received_lsn: int
     marker: int
     promised: int | None
+    repeats_position: bool = False
 
 
 class InvariantBroken(AssertionError):
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -324,3 +324,52 @@
     checking.read(3, max_age=0.5)
     (_, job) = reads(checking)[0]
     assert job.after == core.Position(2, 1)
+
+
+def test_a_position_of_an_earlier_answer_is_not_dated_by_a_later_one(
+    checking,
+):
+    """Guards against stale reads after an answer that names no position.
+
+    A busy primary refuses a statement, and the refusal repeats the position
+    of an earlier answer. Dated by the refused request, that position let a
+    replica that lacked acknowledged writes serve the read.
+    """
+    checking.reports['a'] = machines.report(
+        100, in_recovery=False, repeats_position=True
+    )
+    for _ in range(60):
+        checking.tick()
+    checking.jobs.clear()
+    checking.read(1, max_age=0.5)
+    assert [(name, job.after) for name, job in reads(checking)] == [
+        ('a', None)
+    ]
+    checking.reports['a'] = machines.report(200, in_recovery=False)
+    for _ in range(60):
+        checking.tick()
+    checking.jobs.clear()
+    checking.read(2, max_age=0.5)
+    (_, job) = reads(checking)[0]
+    assert job.after == core.Position(1, 200)
+
+
+def test_the_trace_names_the_former_term_that_a_read_is_based_on(checking):
+    """Guards against a stale read whose log does not show its basis.
+
+    The position of a former term was logged as one of the current term, so
+    the log did not tell whether the read was based on former evidence.
+    """
+    checking.new_term()
+    checking.tick()
+    checking.read(1, max_age=2.0)
+    trace = checking.answers[1].trace
+    assert (trace.term, trace.after_term, trace.after) == (2, 1, 100)
+    assert 0.0 <= trace.after_age <= 2.0
+
+
+def test_the_trace_of_a_read_at_a_permitted_primary_names_no_term(checking):
+    checking.read(1, max_age=0.0)
+    trace = checking.answers[1].trace
+    assert trace.after_term is None
+    assert trace.after_age is None
