Accept in the stand-ins without a wait that can't be cancelled

What was seen: a whole run of the tests did not end. It stood still for more than an hour where the site of a test in tests/edge ends; all tests up to there had passed or were listed.

An accept that begins while the listener is being closed (the server has just taken a connection and turns to the next) waits for a socket that is closed meanwhile, and nothing can cancel it.

That the run stood still for this is suspected: its tasks were not printed.

Ruled out: waits of the tests, which have time limits; killed proxies, which are waited for without a limit, but after SIGKILL.

Change: the server waits until its socket is readable and accepts without waiting. Such a wait may be cancelled at any time; nothing is shielded.

--- a/standins/tidegrade_edge/_listening.py
+++ b/standins/tidegrade_edge/_listening.py
@@ -1,7 +1,9 @@
-"""Listeners that are closed before their accept is cancelled."""
+"""Accepting connections until a task is cancelled."""
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
+import socket
 
 import anyio
 import anyio.abc
@@ -14,28 +16,21 @@
 ) -> None:
     """Serve connections until cancelled, then close the listener.
 
-    An accept that is cancelled while a connection is ready still takes it
-    and raises InvalidStateError in the event loop. So the accept is shielded
-    and ends by the closing of its listener, which first stops the event loop
-    from looking at the socket.
+    The task waits for the socket to become readable instead of for an accept.
+    An accept that is cancelled while a connection is ready still takes it and
+    raises InvalidStateError in the event loop. One that begins while its
+    listener is being closed never ends.
     """
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_accept, listener, handler, tasks)
-        try:
-            await anyio.sleep_forever()
-        finally:
-            with anyio.CancelScope(shield=True):
-                await listener.aclose()
-
-
-async def _accept(
-    listener: anyio.abc.Listener[anyio.abc.SocketStream],
-    handler: Handler,
-    tasks: anyio.abc.TaskGroup,
-) -> None:
-    """Start ``handler`` in ``tasks`` for each connection until closed."""
-    with anyio.CancelScope(shield=True):
-        try:
-            await listener.serve(handler, tasks)
-        except* anyio.ClosedResourceError:
-            pass
+    sock: socket.socket = listener.extra(anyio.abc.SocketAttribute.raw_socket)
+    async with listener, anyio.create_task_group() as tasks:
+        while True:
+            await anyio.wait_readable(sock)
+            # The connection may have been reset since.
+            with contextlib.suppress(BlockingIOError, ConnectionAbortedError):
+                conn, _ = sock.accept()
+                tasks.start_soon(_handle, conn, handler)
+
+
+async def _handle(conn: socket.socket, handler: Handler) -> None:
+    """Run ``handler`` on an accepted connection."""
+    await handler(await anyio.abc.SocketStream.from_socket(conn))
--- a/tests/edge/test_edge_listeners.py
+++ b/tests/edge/test_edge_listeners.py
@@ -11,6 +11,8 @@
 pytestmark = pytest.mark.anyio
 
 HOST = '127.0.0.1'
+#: Time within which a cancelled server has ended, in seconds.
+END_TIMEOUT_S = 2.0
 
 
 @pytest.fixture(params=['instance', 'relay'])
@@ -21,6 +23,20 @@
     return _instance.Instance('i-1', 'svc-1', 'zone-a', 3)
 
 
+async def serve_in_group(server) -> None:
+    """Run a server until this task is cancelled."""
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(server.serve)
+
+
+async def until_listening(server) -> None:
+    """Wait until a server has a port and waits for connections."""
+    with anyio.fail_after(END_TIMEOUT_S):
+        while not server.port:
+            await anyio.sleep(0.001)
+    await anyio.wait_all_tasks_blocked()
+
+
 async def cancel_with_a_ready_connection(server) -> None:
     """Cancel a server just before it would take a connection."""
     async with anyio.create_task_group() as tasks:
@@ -54,3 +70,21 @@
     await cancel_with_a_ready_connection(server)
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection((HOST, server.port)).close()
+
+
+@pytest.mark.parametrize('rounds', range(12))
+async def test_a_server_ends_just_after_it_took_a_connection(server, rounds):
+    """Guards against an end of the tests that never comes.
+
+    A server that is cancelled as it turns to its next connection waited for
+    a socket that was closed meanwhile. ``rounds`` is the number of rounds of
+    the event loop from a connection to the cancellation.
+    """
+    running = asyncio.create_task(serve_in_group(server))
+    await until_listening(server)
+    with socket.create_connection((HOST, server.port)):
+        for _ in range(rounds):
+            await asyncio.sleep(0)
+        running.cancel()
+        done, _ = await asyncio.wait({running}, timeout=END_TIMEOUT_S)
+    assert running in done
