Let a stand-in go on after a connection that was reset before it was taken

A connection that its caller has reset by then has no peer, and wrapping it raises ValueError, which ended the task group of the site.

Ruled out: the proxies; their logs show that the store stopped answering (relays stand before it), and no end of their own.

Change: such a connection is closed and the server goes on.

Before: test_a_server_goes_on_after_a_connection_that_was_reset fails for instance and relay.

--- a/standins/tidegrade_edge/_listening.py
+++ b/standins/tidegrade_edge/_listening.py
@@ -32,5 +32,11 @@
 
 
 async def _handle(conn: socket.socket, handler: Handler) -> None:
-    """Run ``handler`` on an accepted connection."""
-    await handler(await anyio.abc.SocketStream.from_socket(conn))
+    """Run ``handler`` on an accepted connection, unless it was reset."""
+    try:
+        stream = await anyio.abc.SocketStream.from_socket(conn)
+    except (OSError, ValueError):
+        # A socket that has no peer any more is refused with ValueError.
+        conn.close()
+        return
+    await handler(stream)
--- a/standins/tidegrade_edge/_site.py
+++ b/standins/tidegrade_edge/_site.py
@@ -355,8 +355,12 @@
         """Wait until every proxy takes a write."""
         for number, proxy in enumerate(self.proxies):
             while not await self._writable(number):
-                if proxy.process.poll() is not None:
-                    raise RuntimeError(self.log_of(number))
+                status = proxy.process.poll()
+                if status is not None:
+                    raise RuntimeError(
+                        f'{proxy.name} ended with status {status}; its log: '
+                        f'{self.log_of(number)}'
+                    )
                 await anyio.sleep(0.05)
 
     async def _writable(self, number: int) -> bool:
--- a/tests/edge/test_edge_listeners.py
+++ b/tests/edge/test_edge_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import anyio
 import pytest
@@ -88,3 +89,18 @@
         running.cancel()
         done, _ = await asyncio.wait({running}, timeout=END_TIMEOUT_S)
     assert running in done
+
+
+async def test_a_server_goes_on_after_a_connection_that_was_reset(server):
+    """Guards against the end of a site by a caller that left at once."""
+    with anyio.fail_after(END_TIMEOUT_S):
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(server.serve)
+            conn = socket.create_connection((HOST, server.port))
+            linger = struct.pack('ii', 1, 0)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            conn.close()
+            await anyio.wait_all_tasks_blocked()
+            async with await anyio.connect_tcp(HOST, server.port):
+                await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
