Show a promotion sent after its lease by a process that stood still

What callers saw: nothing yet; an endpoint may become primary by a promotion with a lower number after one with a higher number, where the platform checks no numbers. Found by reading the steps, not by a sighting.

Cause: the lease is checked immediately before the promotion is sent, but the two are not one step for the kernel. A process that stands still between them (a paused VM, SIGSTOP, no processor) for longer than what remains of lease and delivery sends after another proxy has taken the attempt over. No timer of the process runs between the two, so its time limits don't help.

Evidence: the test holds the first proxy there and lets the second one take over and promote.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -17,6 +17,7 @@
 import tidegrade_edge
 from tidegrade_platform import __main__ as platform_main
 from tidegrade_platform import _duties
+from tidegrade_platform import _http
 from tidegrade_platform import _instances
 from tidegrade_platform import _settings
 
@@ -344,6 +345,45 @@
     assert site.taken == [2, 3]
 
 
+async def test_a_promotion_of_a_process_that_stood_still_is_not_overtaken(
+    site, monkeypatch
+):
+    """The lease must hold until the bytes are sent.
+
+    The first proxy's process stands still after the last check of its lease,
+    immediately before it sends the promotion, and runs again once the second
+    one has taken the attempt over and promoted.
+    """
+    steps = site.steps
+    exchange = _http._Connection.exchange
+
+    async def send_late(self, head, *call):
+        holder = dict(head.headers)[b'duty-holder'].decode()
+        send = self._stream.send
+
+        async def stand_still(raw: bytes) -> None:
+            # No timer of a process that stands still ends its call.
+            with anyio.CancelScope(shield=True):
+                await steps.at(f'{holder} sends')
+                await send(raw)
+
+        self._stream.send = stand_still
+        return await exchange(self, head, *call)
+
+    monkeypatch.setattr(_http._Connection, 'exchange', send_late)
+    steps.hold('p1 sends', 'p2 claim asked')
+    site.instances['a'].crash()
+    await steps.until('p1 sends')
+    steps.hold('p1 read asked', 'p1 claim asked', 'p2 tells p1')
+    steps.let_go('p2 claim asked')
+    await steps.until('platform takes p2')
+    steps.let_go('p1 sends')
+    with anyio.move_on_after(0.5):
+        await steps.until('platform takes p1')
+    await anyio.sleep(0.1)
+    assert is_ordered(site.taken)
+
+
 async def test_a_choice_lost_by_a_restore_of_the_table_is_not_overtaken(site):
     """A table restored from an older copy doesn't show the choice.
 
