Show a promotion taken after the platform answered with a failure

What callers saw: nothing yet; a promotion with a lower number could be taken after one with a higher number.

Cause: each status but 200 counts as a refusal, after which the proxy begins its next attempt at once. A refusal (409, 429) says that nothing will be done; a failure such as 500 or 504 doesn't, e.g. if a part of the platform passes the call on and gives up waiting.

Evidence: the test answers the first promotion with 504 and takes it 0.9 s later, within the time that a takeover waits for. The users' pages name 409 and 429 only for this call, so that their platform does this is not shown.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -41,6 +41,7 @@
 ROW = core.GroupRow(1, 'a', frozenset(NAMES))
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 REFUSAL = b'HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n'
+FAILURE = b'HTTP/1.1 504 Timeout\r\nContent-Length: 0\r\n\r\n'
 #: Time limit of each test, in seconds.
 LIMIT_S = 20.0
 
@@ -438,6 +439,30 @@
     assert taken_at[0] - refused_at[0] < _watching.TAKEOVER_AFTER_S
 
 
+async def test_a_promotion_answered_by_a_failure_is_not_overtaken(site):
+    """A failure of the platform doesn't say that nothing will be done.
+
+    The platform answers the first promotion with a failure, and takes it
+    0.9 s later. The proxy must not begin its next attempt before.
+    """
+
+    async def take(name: str, stream: anyio.abc.SocketStream) -> None:
+        call = (await stream.receive()).decode().lower()
+        number = int(call.partition('fence-token: ')[2].partition('\r\n')[0])
+        if number == 2:
+            await stream.send(FAILURE)
+            await anyio.sleep(0.9)
+        site.taken.append(number)
+        await anyio.sleep_forever()
+
+    site._take = take
+    site.steps.hold('p2 claim asked')
+    site.instances['a'].crash()
+    while len(site.taken) < 2:
+        await anyio.sleep(0.002)
+    assert is_ordered(site.taken)
+
+
 async def test_an_order_to_follow_does_not_end_another_proxys_fence(site):
     """A fence must hold from the choice to the promotion.
 
