--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -98,6 +98,29 @@
     assert sent == []
 
 
+@pytest.mark.parametrize(
+    ('status', 'failure'),
+    [
+        (409, core.Failure.REFUSED),
+        (429, core.Failure.REFUSED),
+        (503, core.Failure.REFUSED),
+        (302, core.Failure.TIMEOUT),
+        (500, core.Failure.TIMEOUT),
+        (504, core.Failure.TIMEOUT),
+    ],
+)
+async def test_only_a_refused_promotion_is_certain_not_to_be_carried_out(
+    platform, clock, monkeypatch, status, failure
+):
+    address, _ = platform
+    answer = b'HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n' % status
+    monkeypatch.setitem(globals(), 'ANSWER', answer)
+    duties = _duties.Duties(address, 'p1', clock)
+    failed = await duties.promote('svc', 'i-1', 7, clock.now() + 1.0)
+    assert failed is not None
+    assert failed.failure is failure
+
+
 def test_nothing_of_a_promotion_is_delivered_after_a_takeover_waited_for_it():
     """The process may be stopped or killed, so the kernel must drop it."""
     assert _duties.CALL_TIMEOUT_S <= core.PROMOTION_DELIVERY_S
