--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -17,6 +17,7 @@
 import tidegrade_edge
 from tidegrade_platform import __main__ as platform_main
 from tidegrade_platform import _duties
+from tidegrade_platform import _http
 from tidegrade_platform import _instances
 from tidegrade_platform import _settings
 
@@ -40,6 +41,7 @@
 ROW = core.GroupRow(1, 'a', frozenset(NAMES))
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 REFUSAL = b'HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n'
+FAILURE = b'HTTP/1.1 504 Timeout\r\nContent-Length: 0\r\n\r\n'
 #: Time limit of each test, in seconds.
 LIMIT_S = 20.0
 
@@ -344,6 +346,45 @@
     assert site.taken == [2, 3]
 
 
+async def test_a_promotion_of_a_process_that_stood_still_is_not_overtaken(
+    site, monkeypatch
+):
+    """The lease must hold until the bytes are sent.
+
+    The first proxy's process stands still after the last check of its lease,
+    immediately before it sends the promotion, and runs again once the second
+    one has taken the attempt over and promoted.
+    """
+    steps = site.steps
+    exchange = _http._Connection.exchange
+
+    async def send_late(self, head, *call):
+        holder = dict(head.headers)[b'duty-holder'].decode()
+        send = self._stream.send
+
+        async def stand_still(raw: bytes) -> None:
+            # No timer of a process that stands still ends its call.
+            with anyio.CancelScope(shield=True):
+                await steps.at(f'{holder} sends')
+                await send(raw)
+
+        self._stream.send = stand_still
+        return await exchange(self, head, *call)
+
+    monkeypatch.setattr(_http._Connection, 'exchange', send_late)
+    steps.hold('p1 sends', 'p2 claim asked')
+    site.instances['a'].crash()
+    await steps.until('p1 sends')
+    steps.hold('p1 read asked', 'p1 claim asked', 'p2 tells p1')
+    steps.let_go('p2 claim asked')
+    await steps.until('platform takes p2')
+    steps.let_go('p1 sends')
+    with anyio.move_on_after(0.5):
+        await steps.until('platform takes p1')
+    await anyio.sleep(0.1)
+    assert is_ordered(site.taken)
+
+
 async def test_a_choice_lost_by_a_restore_of_the_table_is_not_overtaken(site):
     """A table restored from an older copy doesn't show the choice.
 
@@ -398,6 +439,30 @@
     assert taken_at[0] - refused_at[0] < _watching.TAKEOVER_AFTER_S
 
 
+async def test_a_promotion_answered_by_a_failure_is_not_overtaken(site):
+    """A failure of the platform doesn't say that nothing will be done.
+
+    The platform answers the first promotion with a failure, and takes it
+    0.9 s later. The proxy must not begin its next attempt before.
+    """
+
+    async def take(name: str, stream: anyio.abc.SocketStream) -> None:
+        call = (await stream.receive()).decode().lower()
+        number = int(call.partition('fence-token: ')[2].partition('\r\n')[0])
+        if number == 2:
+            await stream.send(FAILURE)
+            await anyio.sleep(0.9)
+        site.taken.append(number)
+        await anyio.sleep_forever()
+
+    site._take = take
+    site.steps.hold('p2 claim asked')
+    site.instances['a'].crash()
+    while len(site.taken) < 2:
+        await anyio.sleep(0.002)
+    assert is_ordered(site.taken)
+
+
 async def test_an_order_to_follow_does_not_end_another_proxys_fence(site):
     """A fence must hold from the choice to the promotion.
 
