Test that a promotion held up after its check is not sent after a takeover

Cause: without a lease nothing was checked again after the promise.

Change: the test forces this order through both proxies' tasks, the adapter and the stand-ins.

Result: guards the lease between check and sending.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -385,6 +385,26 @@
     assert is_ordered(site.taken)
 
 
+async def test_a_promotion_held_up_after_its_check_is_not_sent_later(site):
+    """A process may stand still between the check and the promotion.
+
+    The first proxy has recorded its choice and checked the endpoint's promise.
+    It gets the instance's id only after the second one has taken the attempt
+    over and promoted.
+    """
+    steps = site.steps
+    steps.hold('p1 asks id', 'p2 claim asked')
+    site.instances['a'].crash()
+    await steps.until('p1 asks id')
+    steps.hold('p1 read asked', 'p1 claim asked', 'p2 tells p1')
+    steps.let_go('p2 claim asked')
+    await steps.until('platform takes p2')
+    steps.let_go('p1 asks id')
+    with anyio.move_on_after(0.5):
+        await steps.until('platform takes p1')
+    assert site.taken == [3]
+
+
 async def test_a_choice_lost_by_a_restore_of_the_table_is_not_overtaken(site):
     """A table restored from an older copy doesn't show the choice.
 
