--- a/tests/edge/test_edge_listeners.py
+++ b/tests/edge/test_edge_listeners.py
@@ -75,11 +75,11 @@
 
 @pytest.mark.parametrize('rounds', range(12))
 async def test_a_server_ends_just_after_it_took_a_connection(server, rounds):
-    """Guards against an end of the tests that never comes.
+    """Guards against a teardown that never ends.
 
-    A server that is cancelled as it turns to its next connection waited for
-    a socket that was closed meanwhile. ``rounds`` is the number of rounds of
-    the event loop from a connection to the cancellation.
+    A server that was cancelled as it began to accept its next connection
+    waited for a socket that was closed meanwhile. ``rounds`` is the number of
+    rounds of the event loop between a connection and the cancellation.
     """
     running = asyncio.create_task(serve_in_group(server))
     await until_listening(server)
@@ -92,7 +92,7 @@
 
 
 async def test_a_server_goes_on_after_a_connection_that_was_reset(server):
-    """Guards against the end of a site by a caller that left at once."""
+    """Guards against a caller that ends a whole site by leaving at once."""
     with anyio.fail_after(END_TIMEOUT_S):
         async with anyio.create_task_group() as tasks:
             await tasks.start(server.serve)
