--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -33,7 +33,9 @@
     def name(self) -> str:
         """The name under which endpoints know the shape."""
         kind = 'w' if self.writes else 'r'
-        digest = hashlib.blake2s(self.shape.encode(), digest_size=12)
+        # Bytes of callers that are not UTF-8 are decoded as surrogates.
+        shape = self.shape.encode('utf-8', 'surrogateescape')
+        digest = hashlib.blake2s(shape, digest_size=12)
         return kind + digest.hexdigest()
 
 
--- a/src/tidegrade/ports/_sessions.py
+++ b/src/tidegrade/ports/_sessions.py
@@ -127,6 +127,12 @@
         Returns how many are still open.
         """
 
+    def answer_unfinished(self) -> int:
+        """Answer each request in progress now; return their number.
+
+        The outcome of one that may take effect is unknown.
+        """
+
 
 class StatusPages(typing.Protocol):
     """Reports readiness and metrics to the load balancer and operators."""
--- a/src/tidegrade/session_proxy/_drain.py
+++ b/src/tidegrade/session_proxy/_drain.py
@@ -1,4 +1,10 @@
-"""Draining at the end of the program: closes idle sessions."""
+"""Draining at the end of the program.
+
+Sessions end step by step: no transaction begins once the load balancer has
+noticed, open transactions are rolled back later, and at the end each request
+that is still in progress is answered. So no caller waits on a connection
+that the end of the process cuts.
+"""
 
 from collections.abc import Callable
 
@@ -6,6 +12,7 @@
 
 from tidegrade import logs
 from tidegrade.session_proxy import _settings
+from tidegrade import sessions
 
 #: Interval between checks for idle sessions to close, in seconds.
 CLOSE_CHECK_INTERVAL_S = 0.05
@@ -14,6 +21,13 @@
 FINAL_CLOSE_S = 0.8
 #: Fraction of the grace time after which the drain waits no longer.
 GRACE_SHARE = 0.9
+#: Fraction of the grace time after which open transactions are rolled back.
+#: A transaction has at least half of the grace time to end, and a statement
+#: that was sent before this still has a tenth of the grace time to be answered
+#: before the final close.
+TXN_SHARE = 0.7
+#: Time for the answers sent at the end to leave the process, in seconds.
+FLUSH_S = 0.1
 
 
 class Drain:
@@ -33,6 +47,8 @@
         self._is_serving_others = is_serving_others
         #: Whether sessions are being closed because the process ends.
         self.closing = False
+        #: What sessions may do at present.
+        self.phase = sessions.ServicePhase.SERVING
 
     async def drain_sessions(self, cfg: _settings.ProxySettings) -> None:
         """Wait for the load balancer to notice, then close idle sessions."""
@@ -41,10 +57,12 @@
         limit = cfg.grace_s * GRACE_SHARE
         await anyio.sleep(min(cfg.unready_s, limit / 2))
         self.closing = True
+        self.phase = sessions.ServicePhase.DRAINING
         self._listener.close_after_answers(True)
-        left = limit - (self._clock.now() - started_at)
-        with anyio.move_on_after(left - FINAL_CLOSE_S):
-            await self._close_sessions()
+        txns_end_at = started_at + cfg.grace_s * TXN_SHARE
+        if not await self._close_until(txns_end_at):
+            self.phase = sessions.ServicePhase.ENDING
+            await self._close_until(started_at + limit - FINAL_CLOSE_S)
         # A connection accepted from now on would be cut by the process end.
         self._listener.stop_accepting()
         logs.write(
@@ -53,16 +71,27 @@
             in_flight=self._listener.close_idle(),
         )
         await anyio.sleep(CLOSE_CHECK_INTERVAL_S)
-        with anyio.move_on_after(FINAL_CLOSE_S) as final:
-            await self._close_sessions()
-        if final.cancelled_caught:
-            still_open = self._listener.close_idle()
-            logs.write(logs.LogEvent.DRAIN_LIMIT_REACHED, in_flight=still_open)
+        if not await self._close_until(started_at + limit):
+            await self._answer_unfinished()
+
+    async def _answer_unfinished(self) -> None:
+        """Answer what is still in progress, and let the answers leave."""
+        still_open = self._listener.close_idle()
+        logs.write(
+            logs.LogEvent.DRAIN_LIMIT_REACHED,
+            in_flight=still_open,
+            answered=self._listener.answer_unfinished(),
+        )
+        await anyio.sleep(FLUSH_S)
 
-    async def _close_sessions(self) -> None:
-        """Close each session once it is idle, until none is open.
+    async def _close_until(self, at: float) -> bool:
+        """Close each session once it is idle; return whether none is left.
 
-        Requests that other proxies forwarded are waited for as well.
+        Requests that other proxies forwarded are waited for as well. The
+        wait ends at the time ``at``.
         """
         while self._listener.close_idle() or self._is_serving_others():
+            if self._clock.now() >= at:
+                return False
             await anyio.sleep(CLOSE_CHECK_INTERVAL_S)
+        return True
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -112,6 +112,7 @@
                 self._metrics
             ).record_command,
             quotas=quotas,
+            phase=lambda: self._drain.phase,
         )
 
     def _has_tenants(self) -> bool:
--- a/src/tidegrade/sessions/__init__.py
+++ b/src/tidegrade/sessions/__init__.py
@@ -16,6 +16,7 @@
 from tidegrade.sessions._deps import GroupAccess
 from tidegrade.sessions._deps import QuotaAccess
 from tidegrade.sessions._deps import Reply
+from tidegrade.sessions._deps import ServicePhase
 from tidegrade.sessions._deps import SessionDeps
 from tidegrade.sessions._deps import SessionState
 from tidegrade.sessions._deps import UnlimitedQuota
@@ -41,6 +42,7 @@
     'Reply',
     'Rollback',
     'Run',
+    'ServicePhase',
     'Session',
     'SessionDeps',
     'SessionState',
--- a/src/tidegrade/sessions/_deps.py
+++ b/src/tidegrade/sessions/_deps.py
@@ -23,6 +23,16 @@
     FAILED = 'failed'
 
 
+class ServicePhase(enum.Enum):
+    """What a proxy accepts from its sessions as it shuts down."""
+
+    SERVING = 'serving'
+    #: No transaction begins; single statements and open transactions go on.
+    DRAINING = 'draining'
+    #: Open transactions are rolled back, unless their next command commits.
+    ENDING = 'ending'
+
+
 @attrs.frozen
 class Reply:
     """The answer to a command, and the session state after it."""
@@ -76,7 +86,8 @@
     ``access_of`` returns the access of a caller to a database under the
     configuration in force, ``group_of`` a group by its name, and
     ``next_number`` a new request number. ``now`` returns seconds.
-    ``record_command`` receives the record of each command.
+    ``record_command`` receives the record of each command. ``phase`` returns
+    how far the shutdown of the proxy has come.
     """
 
     access_of: Callable[
@@ -87,6 +98,7 @@
     now: Callable[[], float]
     record_command: Callable[['CommandRecord'], None] = lambda _: None
     quotas: QuotaAccess = attrs.field(factory=UnlimitedQuota)
+    phase: Callable[[], ServicePhase] = lambda: ServicePhase.SERVING
 
 
 @attrs.frozen
--- a/src/tidegrade/sessions/_session.py
+++ b/src/tidegrade/sessions/_session.py
@@ -118,6 +118,38 @@
         )
         return reply
 
+    def interrupted(self, command: _commands.Command) -> _deps.Reply:
+        """Return the reply to a command that was cancelled by a shutdown.
+
+        An open transaction is rolled back as the process ends, so nothing of
+        it is kept. Whether a write or a commit takes effect is unknown.
+        """
+        if self._txn is not None:
+            answer = self._end_for_shutdown(self._txn)
+        elif self._may_have_written(command):
+            answer = core.Answer(
+                core.Outcome.UNKNOWN,
+                code=core.Code.UNCONFIRMED,
+                detail='the proxy was shut down before the endpoint answered',
+            )
+        else:
+            answer = _operations.refused(
+                core.Code.DRAINING, 'the proxy is shutting down'
+            )
+        return _deps.Reply(answer, self.state)
+
+    def _may_have_written(self, command: _commands.Command) -> bool:
+        """Return whether a command outside a transaction may take effect.
+
+        A commit counts: its transaction is forgotten before it is sent.
+        """
+        if isinstance(command, _commands.Run):
+            return command.writes
+        if isinstance(command, _commands.Execute):
+            prepared = self._prepared.get(command.name)
+            return prepared is not None and prepared.writes
+        return isinstance(command, _commands.Commit)
+
     def close(self) -> None:
         """End the session and roll back its open transaction."""
         txn, self._txn = self._txn, None
@@ -180,6 +212,8 @@
             return self._after_statement(
                 _operations.no_access(core.Code.UNAUTHORIZED)
             )
+        if self._deps.phase() is _deps.ServicePhase.ENDING:
+            return self._end_for_shutdown(txn)
         if txn.name:
             req = self._request(
                 core.Kind.EXECUTE, txn.access, (stmt,), txn=txn.name
@@ -211,6 +245,10 @@
             return _operations.refused(
                 core.Code.BAD_REQUEST, 'already in a transaction'
             )
+        if self._deps.phase() is not _deps.ServicePhase.SERVING:
+            return _operations.refused(
+                core.Code.DRAINING, 'the proxy is shutting down'
+            )
         started = await self._operations.start()
         if started.is_err():
             return started.unwrap_err()
@@ -269,6 +307,20 @@
         assert txn is not None
         self._roll_back(txn)
 
+    def _end_for_shutdown(self, txn: _Transaction) -> core.Answer:
+        """Roll a transaction back because the process ends soon.
+
+        Its further statements might not be answered in time.
+        """
+        self._roll_back(txn)
+        txn.name = ''
+        return self._after_statement(
+            _operations.refused(
+                core.Code.TXN_UNKNOWN,
+                'the proxy is shutting down; the transaction was rolled back',
+            )
+        )
+
     def _roll_back(self, txn: _Transaction) -> None:
         if txn.name:
             req = self._request(
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -293,3 +293,39 @@
         tasks.cancel_scope.cancel()
     found = [f for e, f in logged if e is logs.LogEvent.REQUEST_CUT]
     assert [fields['request'] for fields in found] == ['u7']
+
+
+async def test_a_request_in_progress_is_answered_at_the_end(harness):
+    """The end of the process cut the connection instead."""
+    reading, writing = await harness.caller(), await harness.caller()
+    idle = await harness.caller()
+    harness.service.group.may_answer = anyio.Event()
+    await reading.send('QUERY u1 READ x')
+    await writing.send('QUERY u2 WRITE x 1')
+    await anyio.sleep(0.05)
+    assert harness.listener.answer_unfinished() == 2
+    assert (await reading.receive()).startswith('ERROR BUSY ')
+    assert (await writing.receive()).startswith('ERROR INDOUBT ')
+    assert await is_open(idle)
+
+
+#: One text for each command, with bytes that are not UTF-8.
+ODD_TEXTS = (
+    b'READ caf\xe3',
+    b'WRITE k\xff \xc0\x80',
+    b'SET tz\xe3 v\xe3',
+    b'PREPARE s\xe3 READ q\xe3',
+    b'EXEC s\xe3 k\xe3',
+    b'DEALLOC s\xe3',
+    b'BEGIN \xe3',
+    b'\xe3 x',
+)
+
+
+async def test_no_bytes_of_a_caller_end_the_process(harness):
+    """A prepared shape that was not UTF-8 ended the process."""
+    caller = await harness.caller()
+    for text in ODD_TEXTS:
+        await caller._stream.send(b'QUERY u\xe3 ' + text + b'\r\n')
+        while not (await caller.receive()).startswith('READY'):
+            pass
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -195,3 +195,55 @@
             await anyio.wait_all_tasks_blocked()
             tasks.cancel_scope.cancel()
     assert duties.taken == []
+
+
+class RefusingExchange(FakeExchange):
+    """An instance that refuses texts that begin with ``refused``.
+
+    As one that lost the lead inside a transaction, it rolls that back.
+    """
+
+    def __init__(self, refused: str) -> None:
+        self._refused = refused
+
+    async def ask(self, request_id: str, text: str) -> _exchange.Answer:
+        if text.startswith(self._refused):
+            ready = _lines.Ready('E', self.position)
+            raise _exchange.Refused(
+                _exchange.Answer((), '', 'READONLY', 'i-1', ready)
+            )
+        return await super().ask(request_id, text)
+
+
+SHAPE = core.Prepared('q7')
+STATEMENT = core.Statement('k0', id='r1', prepared=SHAPE)
+
+
+@pytest.mark.parametrize(
+    ('refused', 'setup'),
+    [
+        ('SET', core.SessionSetup(values=(('tz', 'lisbon'),))),
+        ('PREPARE', core.SessionSetup(prepared=(SHAPE,))),
+        ('RESET', core.SessionSetup(reset=True)),
+    ],
+)
+async def test_a_connection_whose_setup_is_refused_is_not_used_again(
+    refused, setup
+):
+    """Guards against sessions that run with another caller's values.
+
+    The values and names were recorded as applied, and the connection served
+    other sessions after a rollback.
+    """
+    conn = _instances.InstanceConn(RefusingExchange(refused), None)
+    outcome = await conn.run(core.ExecuteJob((STATEMENT,), setup))
+    assert isinstance(outcome, core.JobFailed)
+    assert outcome.failure is core.Failure.NOT_PRIMARY
+    assert not outcome.usable
+
+
+async def test_a_connection_whose_statement_is_refused_is_used_again():
+    conn = _instances.InstanceConn(RefusingExchange('EXEC'), None)
+    outcome = await conn.run(core.ExecuteJob((STATEMENT,)))
+    assert isinstance(outcome, core.JobFailed)
+    assert outcome.usable
--- /dev/null
+++ b/tests/session_proxy/test_drain.py
@@ -0,0 +1,110 @@
+"""The steps of a drain, in the time that the platform gives it."""
+
+import anyio
+import attrs
+import pytest
+
+from tidegrade.adapters import _clock
+from tidegrade.session_proxy import _drain
+from tidegrade.session_proxy import _settings
+from tidegrade import sessions
+
+pytestmark = pytest.mark.anyio
+
+#: Grace time of the tests, in seconds: short, but longer than the final close.
+GRACE_S = 2.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return 'asyncio'
+
+
+@attrs.define
+class Listener:
+    """A listener with one session that stays open until ``ends_at``."""
+
+    ends_at: float
+    answered_at: float | None = None
+    accepts: bool = True
+
+    def close_after_answers(self, wanted: bool) -> None:
+        pass
+
+    def close_idle(self) -> int:
+        return int(anyio.current_time() < self.ends_at)
+
+    def stop_accepting(self) -> None:
+        self.accepts = False
+
+    def answer_unfinished(self) -> int:
+        self.answered_at = anyio.current_time()
+        return 1
+
+
+@attrs.frozen
+class Adapters:
+    """The adapters that a drain uses."""
+
+    listener: Listener
+    clock: _clock.MonotonicClock = attrs.field(factory=_clock.MonotonicClock)
+
+
+@attrs.frozen
+class Cfg:
+    """The settings that a drain uses, in seconds."""
+
+    grace_s: float = GRACE_S
+    unready_s: float = 0.3
+
+
+async def drained(session_s: float) -> tuple[Listener, float, list]:
+    """Drain a proxy with one session; return also the time and the phases."""
+    began_at = anyio.current_time()
+    listener = Listener(began_at + session_s)
+    drain = _drain.Drain(Adapters(listener), lambda: False)
+    phases: list[tuple[sessions.ServicePhase, float]] = []
+
+    async def watch() -> None:
+        while True:
+            if not phases or phases[-1][0] is not drain.phase:
+                elapsed = anyio.current_time() - began_at
+                phases.append((drain.phase, elapsed))
+            await anyio.sleep(0.01)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        await drain.drain_sessions(Cfg())
+        tasks.cancel_scope.cancel()
+    return listener, anyio.current_time() - began_at, phases
+
+
+async def test_a_drain_answers_what_is_in_progress_before_its_end():
+    """A request in progress was cut as the process ended."""
+    listener, took, _ = await drained(session_s=60.0)
+    assert listener.answered_at is not None
+    assert not listener.accepts
+    assert took < GRACE_S
+
+
+async def test_a_drain_without_sessions_ends_early():
+    listener, took, _ = await drained(session_s=0.0)
+    assert listener.answered_at is None
+    assert took < GRACE_S / 2
+
+
+async def test_transactions_end_step_by_step():
+    """None begins once the load balancer knows; half of the time is left."""
+    _, _, phases = await drained(session_s=60.0)
+    order = [phase for phase, _ in phases]
+    assert order == [
+        sessions.ServicePhase.SERVING,
+        sessions.ServicePhase.DRAINING,
+        sessions.ServicePhase.ENDING,
+    ]
+    assert phases[2][1] >= GRACE_S / 2
+
+
+def test_the_settings_have_the_times_that_a_drain_uses():
+    fields = {field.name for field in attrs.fields(_settings.ProxySettings)}
+    assert {'grace_s', 'unready_s'} <= fields
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -48,6 +48,7 @@
     keyring: tenants.Keyring | None = None
     now: float = 10.0
     numbers: int = 0
+    phase: sessions.ServicePhase = sessions.ServicePhase.SERVING
 
     def open(self) -> sessions.Session:
         deps = sessions.SessionDeps(
@@ -55,6 +56,7 @@
             group_of=lambda name: self.group,
             next_number=self._next,
             now=lambda: self.now,
+            phase=lambda: self.phase,
         )
         return sessions.Session('db', CALLER, deps)
 
@@ -273,3 +275,80 @@
     ended = await session.handle(COMMIT)
     assert ended.answer.outcome is core.Outcome.NOT_RUN
     assert core.Kind.COMMIT not in [req.kind for req in harness.group.asked]
+
+
+@pytest.mark.parametrize(
+    'phase', [sessions.ServicePhase.DRAINING, sessions.ServicePhase.ENDING]
+)
+async def test_a_draining_proxy_begins_no_transaction(harness, phase):
+    """A transaction begun late was cut by the end of the process."""
+    session = harness.open()
+    harness.phase = phase
+    reply = await session.handle(sessions.Begin('b1'))
+    assert reply.answer.code is core.Code.DRAINING
+    assert reply.state is sessions.SessionState.IDLE
+    assert (await session.handle(READ)).answer.outcome is core.Outcome.DONE
+
+
+async def test_an_open_transaction_goes_on_while_the_proxy_drains(
+    harness, session
+):
+    await session.handle(sessions.Begin('b1'))
+    await session.handle(READ)
+    harness.phase = sessions.ServicePhase.DRAINING
+    assert (await session.handle(READ)).answer.outcome is core.Outcome.DONE
+    assert (await session.handle(COMMIT)).answer.outcome is core.Outcome.DONE
+
+
+async def test_an_open_transaction_is_rolled_back_before_the_end(
+    harness, session
+):
+    """Its later statements could not be answered before the process ends."""
+    await session.handle(sessions.Begin('b1'))
+    await session.handle(READ)
+    harness.phase = sessions.ServicePhase.ENDING
+    reply = await session.handle(READ)
+    assert reply.answer.code is core.Code.TXN_UNKNOWN
+    assert reply.answer.outcome is core.Outcome.NOT_RUN
+    (posted,) = harness.group.posted
+    assert posted.req.kind is core.Kind.ROLLBACK
+    ended = await session.handle(COMMIT)
+    assert ended.answer.outcome is core.Outcome.NOT_RUN
+    assert ended.state is sessions.SessionState.IDLE
+
+
+async def test_a_commit_is_accepted_until_the_end(harness, session):
+    await session.handle(sessions.Begin('b1'))
+    await session.handle(WRITE)
+    harness.phase = sessions.ServicePhase.ENDING
+    assert (await session.handle(COMMIT)).answer.outcome is core.Outcome.DONE
+
+
+SHAPES = (sessions.Prepare('p1', 's', core.Prepared('q1', writes=True)),)
+
+
+@pytest.mark.parametrize(
+    ('command', 'outcome'),
+    [
+        (READ, core.Outcome.NOT_RUN),
+        (WRITE, core.Outcome.UNKNOWN),
+        (sessions.Execute('e1', 's', 'k0 v'), core.Outcome.UNKNOWN),
+        (COMMIT, core.Outcome.UNKNOWN),
+    ],
+)
+async def test_an_interrupted_command_promises_no_more_than_is_known(
+    session, command, outcome
+):
+    """Guards against a refusal of a write that took effect."""
+    for prepare in SHAPES:
+        await session.handle(prepare)
+    reply = session.interrupted(command)
+    assert reply.answer.outcome is outcome
+
+
+async def test_an_interrupted_statement_fails_its_transaction(session):
+    await session.handle(sessions.Begin('b1'))
+    await session.handle(WRITE)
+    reply = session.interrupted(WRITE)
+    assert reply.answer.outcome is core.Outcome.NOT_RUN
+    assert reply.state is sessions.SessionState.FAILED
