--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -45,11 +45,6 @@
 from tidegrade.core._failover import Supervisor
 from tidegrade.core._group import GroupMachine
 from tidegrade.core._group import is_newer
-from tidegrade.core._homes import expected_homes
-from tidegrade.core._homes import home_of_tenant
-from tidegrade.core._homes import Homes
-from tidegrade.core._homes import homes
-from tidegrade.core._homes import owner_of
 from tidegrade.core._isolation import Isolation
 from tidegrade.core._jobs import CommitJob
 from tidegrade.core._jobs import ExecuteJob
@@ -69,19 +64,6 @@
 from tidegrade.core._jobs import StartJob
 from tidegrade.core._jobs import StatusJob
 from tidegrade.core._jobs import WriteJob
-from tidegrade.core._quota import Admission
-from tidegrade.core._quota import Grant
-from tidegrade.core._quota import GRANT_RETURN_PERIOD_S
-from tidegrade.core._quota import INITIAL_GRANTS
-from tidegrade.core._quota import owns_quota
-from tidegrade.core._quota import quota_owners
-from tidegrade.core._quota import QuotaOwner
-from tidegrade.core._quota import visible_part
-from tidegrade.core._rendezvous import highest_ranked
-from tidegrade.core._rendezvous import rank
-from tidegrade.core._rendezvous import top_ranked
-from tidegrade.core._rendezvous import vm_of
-from tidegrade.core._rendezvous import weight
 from tidegrade.core._routing import PrimaryAfterWrite
 from tidegrade.core._routing import PrimaryOnly
 from tidegrade.core._routing import ReadPolicy
@@ -113,6 +95,24 @@
 from tidegrade.core._types import Statement
 from tidegrade.core._types import Trace
 from tidegrade.core._watching import PROMOTION_DELIVERY_S
+from tidegrade.core.limits._quota import Admission
+from tidegrade.core.limits._quota import Grant
+from tidegrade.core.limits._quota import GRANT_RETURN_PERIOD_S
+from tidegrade.core.limits._quota import INITIAL_GRANTS
+from tidegrade.core.limits._quota import owns_quota
+from tidegrade.core.limits._quota import quota_owners
+from tidegrade.core.limits._quota import QuotaOwner
+from tidegrade.core.limits._quota import visible_part
+from tidegrade.core.placing._homes import expected_homes
+from tidegrade.core.placing._homes import home_of_tenant
+from tidegrade.core.placing._homes import Homes
+from tidegrade.core.placing._homes import homes
+from tidegrade.core.placing._homes import owner_of
+from tidegrade.core.placing._rendezvous import highest_ranked
+from tidegrade.core.placing._rendezvous import rank
+from tidegrade.core.placing._rendezvous import top_ranked
+from tidegrade.core.placing._rendezvous import vm_of
+from tidegrade.core.placing._rendezvous import weight
 
 __all__ = [
     'GRANT_RETURN_PERIOD_S',
--- a/src/tidegrade/core/_dispatch.py
+++ b/src/tidegrade/core/_dispatch.py
@@ -2,13 +2,13 @@
 
 import typing
 
-from tidegrade.core import _order
 from tidegrade.core import _pending
-from tidegrade.core import _queue
 from tidegrade.core import _reads
 from tidegrade.core import _registry
 from tidegrade.core import _state
 from tidegrade.core import _types
+from tidegrade.core.waiting import _order
+from tidegrade.core.waiting import _queue
 
 #: Tries to place a request and returns the result.
 Place = typing.Callable[[_pending.Pending, float], _reads.Placement]
--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -27,12 +27,12 @@
 from tidegrade.core import _jobs
 from tidegrade.core import _membership
 from tidegrade.core import _permission
-from tidegrade.core import _rendezvous
 from tidegrade.core import _row
 from tidegrade.core import _supervision as sv
 from tidegrade.core import _traits
 from tidegrade.core import _types
 from tidegrade.core import _watching
+from tidegrade.core.placing import _rendezvous
 
 #: Longest wait, in seconds, for a replica to catch up with a fenced endpoint
 #: that has newer data but may not become primary.
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -4,10 +4,10 @@
 
 from tidegrade.core import _events
 from tidegrade.core import _pending
-from tidegrade.core import _queue
 from tidegrade.core import _shares
 from tidegrade.core import _state
 from tidegrade.core import _types
+from tidegrade.core.waiting import _queue
 
 #: Retry hint for callers while a group has no primary, in seconds.
 NO_PRIMARY_RETRY_S = 0.5
--- a/src/tidegrade/core/_watching.py
+++ b/src/tidegrade/core/_watching.py
@@ -3,9 +3,9 @@
 from tidegrade.core import _detector
 from tidegrade.core import _membership
 from tidegrade.core import _permission
-from tidegrade.core import _rendezvous
 from tidegrade.core import _row
 from tidegrade.core import _supervision as sv
+from tidegrade.core.placing import _rendezvous
 
 #: Delay between the turns of the proxies to begin an attempt, in seconds.
 TURN_INTERVAL_S = 0.25
--- /dev/null
+++ b/src/tidegrade/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on how much of a limited resource may be used."""
--- a/src/tidegrade/core/_quota.py
+++ b/src/tidegrade/core/limits/_quota.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from tidegrade.core import _rendezvous
+from tidegrade.core.placing import _rendezvous
 from tidegrade import tenants
 
 #: How long after its start time a grant may be returned, in seconds: the
--- /dev/null
+++ b/src/tidegrade/core/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which proxy does which work."""
--- a/src/tidegrade/core/_homes.py
+++ b/src/tidegrade/core/placing/_homes.py
@@ -12,7 +12,7 @@
 import attrs
 
 from tidegrade import config
-from tidegrade.core import _rendezvous
+from tidegrade.core.placing import _rendezvous
 
 #: Highest number of homes of a group in one failure domain: enough that the
 #: group tolerates the loss of some, few enough that each is well used.
--- /dev/null
+++ b/src/tidegrade/core/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the order in which requests wait."""
--- a/src/tidegrade/core/_queue.py
+++ b/src/tidegrade/core/waiting/_queue.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from tidegrade.core import _order
+from tidegrade.core.waiting import _order
 
 #: Weight of the newest sample in the moving average of the service time.
 SERVICE_TIME_WEIGHT = 0.1
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tidegrade import core
-from tidegrade.core import _quota
+from tidegrade.core.limits import _quota
 from tidegrade import tenants
 
 RATE = 40.0
