Replace a primary that answers polls and fails every statement

Ruled out: connection limits as the cause (the refusals began 0.6 s later); lagging replicas (their lag had ended).

Change: a circuit breaker for each endpoint counts callers' statements that were lost or timed out since its last answer; a primary that fails all of them for 0.6 s counts as down.

Before, with the same tests: the primary does not count as down and gets every statement. After: it counts as down within 2 s of a load of 20 a second, and gets at most 5 statements in 3 s.

--- a/src/tidegrade/core/_events.py
+++ b/src/tidegrade/core/_events.py
@@ -235,6 +235,14 @@
     """Read the group's row again from the platform or a peer."""
 
 
+@attrs.frozen
+class WorkHealthChanged:
+    """An endpoint began or ceased to fail all statements of callers."""
+
+    endpoint: str
+    failing: bool
+
+
 @attrs.frozen
 class ControlEnded:
     """A supervisor's job has ended."""
@@ -244,4 +252,12 @@
     outcome: _jobs.JobOutcome
 
 
-Command = OpenConn | CloseConn | RunJob | Reply | FetchRow | ControlEnded
+Command = (
+    OpenConn
+    | CloseConn
+    | RunJob
+    | Reply
+    | FetchRow
+    | WorkHealthChanged
+    | ControlEnded
+)
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -130,6 +130,8 @@
         view = state.views[state.row.primary]
         if _detector.has_stepped_down(view, state.term_since):
             return True
+        if state.fails_work(state.row.primary):
+            return True
         return _detector.is_down(view, state.cfg, now)
 
     def unanswered_since(self, endpoint: str) -> float | None:
@@ -141,6 +143,10 @@
         sent = (conn.sent_at for conn in conns if conn.job is not None)
         return min(sent, default=None)
 
+    def fails_work(self, endpoint: str) -> bool:
+        """Return whether an endpoint fails all statements of callers."""
+        return self._state.fails_work(endpoint)
+
     def reachable(self) -> frozenset[str]:
         """Return the endpoints whose last attempts have not failed."""
         return _exchange.reachable(self._state)
@@ -264,6 +270,8 @@
     ) -> None:
         job, owner, sent_at = conn.job, conn.owner, conn.sent_at
         assert job is not None
+        if isinstance(job, _jobs.CALLER_JOBS):
+            self._state.record_work(conn.endpoint, outcome, now)
         conn.job = None
         conn.owner = None
         if conn.state is _pool.ConnState.BUSY:
@@ -359,6 +367,8 @@
         self._state.permission.start_term(row.term, rules)
         self._state.samples.clear()
         self._abandon_other_endpoints(row.primary, now)
+        # Abandoned statements say nothing of their endpoints.
+        self._state.work_health.clear()
         self._txns.end_off_primary(row.primary, now)
         for pending in self._confirmations.take_before(row.term):
             retry = self._writes.handle_unknown_outcome(
@@ -504,7 +514,7 @@
 
     def _refuse_unservable(self, now: float) -> None:
         state = self._state
-        state.recovery.observe(state.may_acknowledge(now), now)
+        state.recovery.observe(state.can_use_primary(now), now)
         for pending in self._registry.unservable(now):
             self._dispatcher.discard(pending)
             detail = 'no recovery expected within the time limit'
--- a/src/tidegrade/core/_jobs.py
+++ b/src/tidegrade/core/_jobs.py
@@ -152,6 +152,10 @@
 )
 
 
+#: Jobs that run statements of callers.
+CALLER_JOBS = (ReadJob, WriteJob, StartJob, ExecuteJob, CommitJob)
+
+
 class Failure(enum.Enum):
     """How a job failed, and what became of its transaction."""
 
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -187,6 +187,8 @@
         view = state.views[name]
         if not state.accepts_requests(name, now):
             return False
+        if not state.work_health[name].may_send(now):
+            return False
         if self._checked:
             return not view.failures
         if not state.has_current_term(name):
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -59,13 +59,13 @@
         ]
 
     def unservable(self, now: float) -> list[_pending.Pending]:
-        """Return requests that can't get the permission within their limits.
+        """Return requests that can't use the primary within their limits.
 
-        The expected time of the permission is later than their ``deadline``
-        or ``place_by``.
+        The time at which the permission and a working primary are expected
+        is later than their ``deadline`` or ``place_by``.
         """
         state = self._state
-        if state.may_acknowledge(now):
+        if state.can_use_primary(now):
             return []
         expected = state.recovery.recovery_expected_at(now)
         return [
@@ -154,7 +154,7 @@
         if code in NON_RETRYABLE_CODES:
             return None
         state = self._state
-        if pending.needs_permission and not state.may_acknowledge(state.now):
+        if pending.needs_permission and not state.can_use_primary(state.now):
             return state.recovery.retry_after_s(
                 pending.req.priority, state.now, state.rng
             )
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -1,5 +1,6 @@
 """The state of a group on one proxy, shared by the decision modules."""
 
+import collections
 import random
 
 import attrs
@@ -15,6 +16,7 @@
 from tidegrade.core import _traits
 from tidegrade.core import _types
 from tidegrade.core import _view
+from tidegrade.core.health import _work
 
 #: After a pause of the process longer than this, in seconds, the proxy
 #: reads the group's row again before it acknowledges writes. During the
@@ -72,6 +74,10 @@
     )
     now: float = 0.0
     leaving_since: dict[str, float] = attrs.field(factory=dict)
+    #: Whether the endpoints answer statements of callers.
+    work_health: collections.defaultdict[str, _work.WorkHealth] = attrs.field(
+        factory=lambda: collections.defaultdict(_work.WorkHealth)
+    )
     commands: list[_events.Command] = attrs.field(factory=list)
 
     @classmethod
@@ -113,6 +119,8 @@
         conn.owner = owner
         conn.sent_at = now
         conn.deadline = deadline
+        if isinstance(job, _jobs.CALLER_JOBS):
+            self.work_health[conn.endpoint].record_sent(now)
         self.emit(_events.RunJob(conn.id, job, deadline))
 
     def open(self, endpoint: str, tenant: str | None, now: float) -> None:
@@ -146,6 +154,34 @@
             return False
         return self.registered and self.permission.held(now)
 
+    def can_use_primary(self, now: float) -> bool:
+        """Return whether requests that need the primary can be served."""
+        if not self.may_acknowledge(now):
+            return False
+        return self.row is None or not self.fails_work(self.row.primary)
+
+    def fails_work(self, name: str) -> bool:
+        """Return whether an endpoint has failed all statements for long."""
+        return self.work_health[name].is_failing()
+
+    def record_work(
+        self, name: str, outcome: _jobs.JobOutcome, now: float
+    ) -> None:
+        """Record the outcome of a caller's statement at an endpoint."""
+        health = self.work_health[name]
+        was_open = health.is_open
+        failure = None
+        if isinstance(outcome, _jobs.JobFailed):
+            failure = outcome.failure
+        if failure is _jobs.Failure.LOST:
+            health.record_lost(now)
+        elif failure is _jobs.Failure.TIMEOUT:
+            health.record_timeout(now)
+        else:
+            health.record_answer()
+        if health.is_open != was_open:
+            self.emit(_events.WorkHealthChanged(name, health.is_open))
+
     def row_confirmed(self, asked_at: float) -> None:
         """Record that the row was current at ``asked_at``.
 
@@ -207,7 +243,9 @@
         if name not in self.cfg.endpoints:
             return False
         leaving = self.leaving_since.get(name)
-        return leaving is None or now < leaving + LEAVING_GRACE_S
+        if leaving is not None and now >= leaving + LEAVING_GRACE_S:
+            return False
+        return self.work_health[name].may_send(now)
 
     def open_if_allowed(
         self,
--- /dev/null
+++ b/src/tidegrade/core/health/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which endpoints work."""
--- /dev/null
+++ b/src/tidegrade/core/health/_work.py
@@ -0,0 +1,99 @@
+"""Circuit breaker for endpoints that answer polls but fail statements.
+
+Such a gray failure is invisible to the failure detector, which sees an
+endpoint that answers. On a day with one, a primary reset every connection on
+which a caller's statement arrived, and answered each poll: its group served
+nothing for five seconds, each read was tried up to 17 times on new
+connections, and these took the connections that the polls needed.
+
+The load that this answers: every statement fails, while each waiting request
+would open another connection at once. After a few failures in a row the
+endpoint gets single trial statements only, and one success closes the
+breaker. Failures of connections count, not errors of statements: a caller
+with a wrong statement must not take an endpoint away from others.
+"""
+
+import attrs
+
+#: Failures in a row after which the breaker opens: more than a single reset
+#: of all connections of an endpoint makes on one request and its retry.
+MIN_FAILURES = 3
+#: Time from the first failure of a row to the last one, in seconds, after
+#: which the endpoint counts as failing: as long as a silence that makes it
+#: count as down. A reset of all connections or a restart is over sooner.
+MIN_FAILING_S = 0.6
+#: The same if the statements time out, in seconds. An endpoint with a full
+#: queue also lets statements time out, but it refuses others as busy.
+MIN_HANGING_S = 1.5
+#: Bounds of the interval between trial statements, in seconds. It doubles
+#: with each trial that fails. The first is about the time in which a caller
+#: that was refused comes back.
+MIN_TRIAL_INTERVAL_S = 0.1
+MAX_TRIAL_INTERVAL_S = 1.0
+
+
+@attrs.define
+class WorkHealth:
+    """Outcomes of callers' statements at one endpoint; times in seconds.
+
+    ``failures`` and ``timeouts`` count since the last statement that the
+    endpoint answered. ``first_failure_at`` is the time of the first of them,
+    ``last_failure_at`` that of the last.
+    """
+
+    failures: int = 0
+    timeouts: int = 0
+    first_failure_at: float = float('inf')
+    last_failure_at: float = float('-inf')
+    trial_interval: float = MIN_TRIAL_INTERVAL_S
+    next_trial_at: float = float('-inf')
+
+    def record_answer(self) -> None:
+        """Record that the endpoint answered a statement, also if refused."""
+        self.failures = self.timeouts = 0
+        self.first_failure_at = float('inf')
+        self.last_failure_at = float('-inf')
+        self.trial_interval = MIN_TRIAL_INTERVAL_S
+        self.next_trial_at = float('-inf')
+
+    def record_lost(self, now: float) -> None:
+        """Record that the connection ended while a statement ran."""
+        self.failures += 1
+        self._failed(now)
+
+    def record_timeout(self, now: float) -> None:
+        """Record that a statement was not answered in time."""
+        self.timeouts += 1
+        self._failed(now)
+
+    def record_sent(self, now: float) -> None:
+        """Record that a statement is sent.
+
+        It is a trial if the breaker is open.
+        """
+        if self.is_open:
+            self.next_trial_at = now + self.trial_interval
+            doubled = 2 * self.trial_interval
+            self.trial_interval = min(doubled, MAX_TRIAL_INTERVAL_S)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the endpoint gets trial statements only."""
+        return self.failures + self.timeouts >= MIN_FAILURES
+
+    def may_send(self, now: float) -> bool:
+        """Return whether a statement may be sent to the endpoint now."""
+        return not self.is_open or now >= self.next_trial_at
+
+    def is_failing(self) -> bool:
+        """Return whether the endpoint has failed all statements for long."""
+        if not self.is_open:
+            return False
+        failing_for = self.last_failure_at - self.first_failure_at
+        if self.failures >= MIN_FAILURES:
+            return failing_for >= MIN_FAILING_S
+        return failing_for >= MIN_HANGING_S
+
+    def _failed(self, now: float) -> None:
+        self.first_failure_at = min(self.first_failure_at, now)
+        self.last_failure_at = now
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -116,6 +116,7 @@
             core.RunJob: self._run_job,
             core.Reply: self._reply,
             core.FetchRow: self._fetch_row,
+            core.WorkHealthChanged: self._log_work_health,
             core.ControlEnded: self._control_ended,
             supervision.ReadRow: self._row_access.order,
             supervision.WriteRow: self._row_access.order,
@@ -367,6 +368,7 @@
             failures=view.failures,
             refused=view.refused,
             follows=view.report is not None and view.report.in_recovery,
+            fails_work=self.machine.fails_work(row.primary),
             silent_ms=_ms_since(view.last_answer_at, now),
             connections=self.machine.conn_count(row.primary),
             unanswered_ms=_ms_since(
@@ -443,6 +445,15 @@
         if self.serving or self.machine.in_use():
             self._row_access.fetch()
 
+    def _log_work_health(self, command: core.WorkHealthChanged) -> None:
+        logs.write_bounded(
+            logs.LogEvent.ENDPOINT_FAILS_WORK
+            if command.failing
+            else logs.LogEvent.ENDPOINT_WORKS,
+            group=str(self.key),
+            endpoint=command.endpoint,
+        )
+
     def _control_ended(self, command: core.ControlEnded) -> None:
         self._log_control_ended(command)
         self.post(
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -163,6 +163,12 @@
         logging.INFO,
         'an invalid entry was corrected or removed',
     )
+    ENDPOINT_FAILS_WORK = (
+        1505,
+        logging.WARNING,
+        'an endpoint fails statements; it gets single trials only',
+    )
+    ENDPOINT_WORKS = (1506, logging.INFO, 'an endpoint answers statements')
     REQUEST_FAILED = (
         1601,
         logging.ERROR,
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -7,6 +7,14 @@
 
 NAMES = ('a', 'b', 'c')
 ROW = core.GroupRow(1, 'a', frozenset(NAMES))
+#: Jobs that run statements of callers.
+STATEMENTS = (
+    core.ReadJob,
+    core.WriteJob,
+    core.StartJob,
+    core.ExecuteJob,
+    core.CommitJob,
+)
 
 
 def report(lsn: int, **changes) -> core.EndpointReport:
@@ -60,6 +68,8 @@
         self.frozen: set[str] = set()
         self.failing: set[str] = set()
         self.failures: dict[str, core.JobFailed] = {}
+        #: Endpoints that answer polls, but fail callers' statements this way.
+        self.gray: dict[str, core.JobFailed] = {}
         #: Connections that answer no more jobs.
         self.silent: set[int] = set()
         #: Endpoints that accept no more connections.
@@ -109,6 +119,8 @@
                 return []
             if name in self.failures:
                 return [core.JobEnded(command.conn, self.failures[name])]
+            if name in self.gray and isinstance(command.job, STATEMENTS):
+                return [core.JobEnded(command.conn, self.gray[name])]
             if name in self.failing and isinstance(command.job, core.ReadJob):
                 failed = core.JobFailed(core.Failure.STATEMENT, usable=True)
                 return [core.JobEnded(command.conn, failed)]
--- /dev/null
+++ b/tests/core/test_work_health.py
@@ -0,0 +1,147 @@
+"""Endpoints that answer polls but fail every statement of a caller.
+
+A primary reset each connection on which a statement arrived. It answered
+polls, so it did not count as down: its group served nothing for five seconds,
+and each read was tried up to 17 times.
+"""
+
+import machines
+import pytest
+
+from tidegrade import core
+from tidegrade.core.health import _work
+
+RESET = core.JobFailed(core.Failure.LOST)
+HANGS = core.JobFailed(core.Failure.TIMEOUT)
+#: Requests of callers in the load of these tests, per second.
+RATE_PER_S = 20
+#: The time limit of a request, in seconds.
+LIMIT_S = 0.8
+
+
+def write(machine: machines.Machine, req_id: int) -> None:
+    machine.tell(
+        core.RequestArrived(
+            core.Request(
+                id=req_id,
+                tenant='t',
+                kind=core.Kind.WRITE,
+                deadline=machine.now + LIMIT_S,
+                place_by=machine.now + LIMIT_S * 0.75,
+                statements=(core.Statement('UPDATE x'),),
+                idempotent=True,
+            )
+        )
+    )
+
+
+def statements_at(machine: machines.Machine, name: str) -> int:
+    """Return how many statements were sent to an endpoint so far."""
+    return sum(
+        endpoint == name and isinstance(job, machines.STATEMENTS)
+        for endpoint, job in machine.jobs
+    )
+
+
+def load(machine: machines.Machine, seconds: float, first_id: int) -> int:
+    """Send writes at a constant rate; return the next request id."""
+    steps = int(seconds * RATE_PER_S)
+    for number in range(first_id, first_id + steps):
+        write(machine, number)
+        machine.tick(1 / RATE_PER_S)
+    return first_id + steps
+
+
+def test_a_primary_that_resets_every_statement_counts_as_down(machine):
+    machine.gray['a'] = RESET
+    load(machine, 2.0, 1)
+    assert machine.core.considers_primary_down(machine.now)
+
+
+def test_a_failing_primary_gets_few_statements(machine):
+    """Retries opened a connection each and starved the polls."""
+    machine.gray['a'] = RESET
+    next_id = load(machine, 1.0, 1)
+    before = statements_at(machine, 'a')
+    load(machine, 3.0, next_id)
+    assert statements_at(machine, 'a') - before <= 5
+
+
+def test_requests_for_a_failing_primary_are_refused_early(machine):
+    """They waited until their callers gave up, and were refused then."""
+    machine.gray['a'] = RESET
+    next_id = load(machine, 2.0, 1)
+    write(machine, next_id)
+    machine.tick(0.1)
+    answer = machine.answers[next_id]
+    assert answer.outcome is core.Outcome.NOT_RUN
+    assert answer.retry_after is not None
+
+
+def test_a_primary_that_works_again_is_used_after_one_trial(machine):
+    machine.gray['a'] = RESET
+    next_id = load(machine, 2.0, 1)
+    del machine.gray['a']
+    next_id = load(machine, 1.2, next_id)
+    assert not machine.core.considers_primary_down(machine.now)
+    write(machine, next_id)
+    machine.tick()
+    assert machine.answers[next_id].outcome is core.Outcome.DONE
+
+
+def test_a_reset_of_all_connections_does_not_replace_the_primary(machine):
+    """One event resets what is in progress; the next statements succeed."""
+    machine.gray['a'] = RESET
+    for number in range(1, 6):
+        write(machine, number)
+    del machine.gray['a']
+    load(machine, 1.0, 10)
+    assert not machine.core.considers_primary_down(machine.now)
+    assert machine.answers[12].outcome is core.Outcome.DONE
+
+
+def test_statements_that_fail_by_themselves_count_as_answers(machine):
+    """A caller with a wrong statement must not replace the primary."""
+    machine.gray['a'] = core.JobFailed(core.Failure.STATEMENT, usable=True)
+    load(machine, 3.0, 1)
+    assert not machine.core.considers_primary_down(machine.now)
+
+
+def test_reads_avoid_a_replica_that_resets_statements(machine):
+    machine.gray['b'] = RESET
+    for number in range(1, 60):
+        machine.read(number)
+        machine.tick(0.05)
+    outcomes = {a.outcome for a in machine.answers.values()}
+    assert outcomes == {core.Outcome.DONE}
+    assert statements_at(machine, 'b') <= _work.MIN_FAILURES + 6
+
+
+@pytest.mark.parametrize('refused', [False, True])
+def test_time_outs_count_unless_the_endpoint_refuses_others(refused):
+    """A full queue lets statements time out; a hung endpoint answers none."""
+    health = _work.WorkHealth()
+    for step in range(20):
+        health.record_timeout(10 + step * 0.1)
+        if refused and step % 4 == 3:
+            health.record_answer()
+    assert health.is_failing() is not refused
+
+
+def test_trials_become_rarer_and_stop_with_an_answer():
+    health = _work.WorkHealth()
+    for step in range(_work.MIN_FAILURES):
+        health.record_lost(10 + step)
+    now, sent = 20.0, []
+    while now < 26:
+        if health.may_send(now):
+            health.record_sent(now)
+            health.record_lost(now)
+            sent.append(now)
+        now += 0.05
+    gaps = [b - a for a, b in zip(sent, sent[1:], strict=False)]
+    assert gaps[0] < 0.2
+    assert max(gaps) <= _work.MAX_TRIAL_INTERVAL_S + 0.1
+    health.record_answer()
+    assert health.may_send(now)
+    assert not health.is_open
