--- a/src/tidegrade/core/_exchange.py
+++ b/src/tidegrade/core/_exchange.py
@@ -5,13 +5,26 @@
 from tidegrade.core import _state
 
 
-def reachable(state: _state.GroupState) -> frozenset[str]:
-    """Return the endpoints without a failed poll since the last answer."""
+def reachable(state: _state.GroupState, now: float) -> frozenset[str]:
+    """Return the endpoints without a failure since the last answer.
+
+    An endpoint that fails callers' statements counts while it answers polls.
+    Otherwise each trial statement would restart the time for which a majority
+    must be reachable, and no proxy would replace a failing primary.
+    """
     return frozenset(
-        name for name in state.cfg.endpoints if not state.views[name].failures
+        name for name in state.cfg.endpoints if _is_reachable(state, name, now)
     )
 
 
+def _is_reachable(state: _state.GroupState, name: str, now: float) -> bool:
+    view = state.views[name]
+    if not view.failures:
+        return True
+    answered = now - view.last_answer_at < state.cfg.suspect_after_s
+    return answered and state.work_health[name].is_open
+
+
 def replicas_to_repair(state: _state.GroupState, now: float) -> frozenset[str]:
     """Return the replicas that may not be following the primary.
 
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -147,9 +147,9 @@
         """Return whether an endpoint fails all statements of callers."""
         return self._state.fails_work(endpoint)
 
-    def reachable(self) -> frozenset[str]:
-        """Return the endpoints whose last attempts have not failed."""
-        return _exchange.reachable(self._state)
+    def reachable(self, now: float) -> frozenset[str]:
+        """Return the endpoints that can be reached, as far as known."""
+        return _exchange.reachable(self._state, now)
 
     def replicas_to_repair(self, now: float) -> frozenset[str]:
         """Return the replicas that may not be following the primary."""
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -314,7 +314,7 @@
                 peers=self._peers.serving_ids(self.key),
                 leaving=frozenset(leaving),
                 replicas_to_repair=self.machine.replicas_to_repair(now),
-                reachable=self.machine.reachable(),
+                reachable=self.machine.reachable(now),
                 gone=self.gone,
                 settled=now - self._started_at >= SETTLE_S,
             )
--- a/standins/tidegrade_fakes/_world.py
+++ b/standins/tidegrade_fakes/_world.py
@@ -242,7 +242,7 @@
                 replicas_to_repair=self.machine.replicas_to_repair(
                     self.clock()
                 ),
-                reachable=self.machine.reachable(),
+                reachable=self.machine.reachable(self.clock()),
             )
         )
 
--- a/tests/core/test_shares.py
+++ b/tests/core/test_shares.py
@@ -101,4 +101,4 @@
     wait(proxy, 3.0)
     view = proxy.core.views['a']
     assert not core.is_down(view, proxy.core.cfg, proxy.now)
-    assert proxy.core.reachable() == set(machines.NAMES)
+    assert proxy.core.reachable(proxy.now) == set(machines.NAMES)
--- a/tests/core/test_silent_connections.py
+++ b/tests/core/test_silent_connections.py
@@ -85,7 +85,7 @@
     shared.go_silent()
     for _ in range(40):
         shared.tick(0.05)
-        assert shared.core.reachable() == set(machines.NAMES)
+        assert shared.core.reachable(shared.now) == set(machines.NAMES)
 
 
 @pytest.fixture(
--- a/tests/core/test_work_health.py
+++ b/tests/core/test_work_health.py
@@ -145,3 +145,15 @@
     health.record_answer()
     assert health.may_send(now)
     assert not health.is_open
+
+
+def test_a_failing_primary_that_answers_polls_stays_reachable(machine):
+    """No proxy replaced it: each trial restarted the time of a majority.
+
+    One replica was failing at the same time.
+    """
+    machine.gray['a'] = RESET
+    next_id = load(machine, 2.0, 1)
+    for _ in range(40):
+        next_id = load(machine, 0.05, next_id)
+        assert 'a' in machine.core.reachable(machine.now)
