Order homes by the capacity of VMs, in core

Ruled out: the upper median of an even number of proxies: four VMs, two of them large, would keep four homes. A weighted hash: it would not put both large VMs of a domain first, and equal VMs would lose their homes.

Change: core/placing/_capacity.py orders proxies by capacity, then by rendezvous hash, and counts how many of the first have the capacity of as many median VMs as there were homes, at least two. core.homes and core.expected_homes take capacities; no caller passes them yet.

Before: eight homes a domain (two with tenants) whatever the VMs.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -103,6 +103,8 @@
 from tidegrade.core.limits._quota import quota_owners
 from tidegrade.core.limits._quota import QuotaOwner
 from tidegrade.core.limits._quota import visible_part
+from tidegrade.core.placing._capacity import largest_first
+from tidegrade.core.placing._capacity import thousandths
 from tidegrade.core.placing._homes import expected_homes
 from tidegrade.core.placing._homes import home_of_tenant
 from tidegrade.core.placing._homes import Homes
@@ -212,12 +214,14 @@
     'invariant',
     'is_down',
     'is_newer',
+    'largest_first',
     'owner_of',
     'owns_quota',
     'quota_owners',
     'rank',
     'shifted',
     'shifted_request',
+    'thousandths',
     'top_ranked',
     'visible_part',
     'vm_of',
--- a/src/tidegrade/core/placing/_homes.py
+++ b/src/tidegrade/core/placing/_homes.py
@@ -2,7 +2,9 @@
 
 Connections are scarce, and every proxy that holds some must also receive
 the group's state. So where there are many proxies, a few in each failure
-domain serve a group on behalf of the other proxies of that domain.
+domain serve a group on behalf of the other proxies of that domain. Larger VMs
+come first, and the larger they are, the fewer homes there are: each home
+limits only its own load on an endpoint, so many small homes overfill it.
 """
 
 from collections.abc import Collection
@@ -12,6 +14,7 @@
 import attrs
 
 from tidegrade import config
+from tidegrade.core.placing import _capacity
 from tidegrade.core.placing import _rendezvous
 
 #: Highest number of homes of a group in one failure domain: enough that the
@@ -20,6 +23,10 @@
 #: The same where each connection belongs to a tenant: the fewer homes there
 #: are, the more requests of a tenant find an open connection of that tenant.
 MAX_TENANT_HOMES = 2
+#: Lowest number of homes of a group in one failure domain, if there would be
+#: as many among equal VMs: with a single one, its loss leaves the domain
+#: without a home until another has opened connections.
+MIN_HOMES = 2
 #: Part of an endpoint's connections that is divided among the homes. The
 #: rest is reserved for the connections of proxies that have just ended: an
 #: endpoint keeps counting them for up to 3 s.
@@ -44,25 +51,35 @@
     domain: str,
     proxies: Mapping[str, Collection[str]],
     by_tenant: bool = False,
+    capacities: Mapping[str, int] = _capacity.NO_CAPACITIES,
 ) -> Homes:
     """Return whether proxy ``own`` in ``domain`` is a home of a group.
 
     ``proxies`` are the eligible proxies by failure domain, including
     ``own``. ``by_tenant`` means that each connection belongs to a tenant.
+    ``capacities`` are those of the proxies' VMs in thousandths of a core.
     """
-    max_homes = MAX_TENANT_HOMES if by_tenant else MAX_HOMES
-    per_domain = min(max_homes, _per_domain(cfg, len(proxies)))
-    others = (proxy for proxy in proxies[domain] if proxy != own)
-    own_rank = _rendezvous.rank(f'home {group}', own, others)
-    count = sum(min(per_domain, len(found)) for found in proxies.values())
-    return Homes(own_rank < per_domain, count)
+    most = _most_per_domain(cfg, len(proxies), by_tenant)
+    counts = {
+        name: _capacity.count_for_same_capacity(
+            found, capacities, most, MIN_HOMES
+        )
+        for name, found in proxies.items()
+    }
+    own_rank = _capacity.rank(
+        f'home {group}', own, proxies[domain], capacities
+    )
+    return Homes(own_rank < counts[domain], sum(counts.values()))
+
 
+def _most_per_domain(cfg: config.Group, domains: int, by_tenant: bool) -> int:
+    """Return the number of homes of a failure domain with equal VMs.
 
-def _per_domain(cfg: config.Group, domains: int) -> int:
-    """Return the number of homes per failure domain, if it has enough."""
+    A domain with fewer proxies has fewer.
+    """
     min_connections = min(e.max_connections for e in cfg.endpoints.values())
     shared = int(min_connections * SHARED_PART) // domains
-    return max(1, shared)
+    return min(MAX_TENANT_HOMES if by_tenant else MAX_HOMES, max(1, shared))
 
 
 def expected_homes(
@@ -70,6 +87,7 @@
     cfg: config.Group,
     proxies: Mapping[str, Collection[str]],
     by_tenant: bool = False,
+    capacities: Mapping[str, int] = _capacity.NO_CAPACITIES,
 ) -> tuple[str, ...]:
     """Return the expected homes of a group, alive or not.
 
@@ -78,12 +96,18 @@
     """
     if not proxies:
         return ()
-    max_homes = MAX_TENANT_HOMES if by_tenant else MAX_HOMES
-    per_domain = min(max_homes, _per_domain(cfg, len(proxies)))
+    most = _most_per_domain(cfg, len(proxies), by_tenant)
     return tuple(
         proxy
         for found in proxies.values()
-        for proxy in _rendezvous.top_ranked(f'home {group}', found, per_domain)
+        for proxy in _capacity.largest_first(
+            f'home {group}',
+            found,
+            capacities,
+            _capacity.count_for_same_capacity(
+                found, capacities, most, MIN_HOMES
+            ),
+        )
     )
 
 
