Tell the capacity of a VM in heartbeats and registrations

Cause: proxies need the capacity of each other's VM to choose the same homes.

Ruled out: the capacity in the heartbeat's revision. Older proxies compute revisions without it, so each digest of one version would cause a pull by the other. A relay of an older version drops the field; then the registration tells it.

Change: ProxySettings.capacity is limits.cpu_share x limits.cpu_cores of the platform's settings, 1.0 without them. Heartbeat.capacity @11, the row's field and ports.Vm.capacity hold it in thousandths of a core, 0 if unknown. A reload does not change it. Roster.capacities caches them until the roster changes.

Before: rows and heartbeats without capacity. After: rows of both versions are read by both (tests/codec/test_rows.py).

--- a/src/tidegrade/codec/_rows.py
+++ b/src/tidegrade/codec/_rows.py
@@ -28,12 +28,15 @@
 
     ``proxy`` is the id of the proxy process that registered last. A VM runs
     one at a time, so a process that registers replaces the one before.
+    ``capacity`` is that of the VM in thousandths of a core; rows of older
+    proxies lack it, and 0 means that it is not known.
     """
 
     domain: str
     host: str
     port: int
     proxy: str
+    capacity: int = 0
 
 
 def encode_registered(entry: Registered) -> bytes:
--- a/src/tidegrade/daemon/_deps.py
+++ b/src/tidegrade/daemon/_deps.py
@@ -36,7 +36,8 @@
     ``traits`` describe the capabilities of the endpoints that ``endpoints``
     connects to. Deadlines are met to within ``tick_s`` seconds. A proxy that
     serves a group reads its row every ``row_interval_s`` seconds even without
-    a request.
+    a request. ``capacity`` is that of the proxy's VM in thousandths of a core,
+    0 if it is not known.
     """
 
     proxy_id: str
@@ -49,6 +50,7 @@
     traits: core.Traits = core.POSTGRESQL
     tick_s: float = 0.02
     row_interval_s: float = 5.0
+    capacity: int = 0
     #: Batched reads of the groups' rows in ``table``.
     rows: _shared_reads.SharedReads = attrs.field(init=False, repr=False)
 
--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 
 import anyio
 import anyio.abc
@@ -53,7 +54,9 @@
         self._links = _links.Links(key, own)
         self._server = _server.PeerServer(own, key, self._receive)
         relayed_s = cfg.alive_s + RELAYED_INTERVALS * cfg.heartbeat_s
-        self._roster = _roster.Roster(deps.proxy_id, cfg.alive_s, relayed_s)
+        self._roster = _roster.Roster(
+            deps.proxy_id, cfg.alive_s, relayed_s, deps.capacity
+        )
         self._gossip = _gossip.Gossip(
             _roster.ProxyIdentity(deps.proxy_id, deps.domain),
             self._roster,
@@ -151,6 +154,13 @@
         """
         return self._roster.candidates(self._deps.clock.now())
 
+    def capacities(self) -> Mapping[str, int]:
+        """Return the capacities of all proxies' VMs, this one's included.
+
+        They are in thousandths of a core, 0 if unknown.
+        """
+        return self._roster.capacities()
+
     def starting(self) -> set[str]:
         """Return recently listed proxies without a heartbeat so far."""
         return self._roster.starting(self._deps.clock.now())
--- a/src/tidegrade/daemon/_registration.py
+++ b/src/tidegrade/daemon/_registration.py
@@ -58,7 +58,11 @@
     async def _until_registered(self) -> None:
         cfg = self._deps
         entry = _rows.Registered(
-            cfg.domain, cfg.peers.host, cfg.peers.port, cfg.proxy_id
+            cfg.domain,
+            cfg.peers.host,
+            cfg.peers.port,
+            cfg.proxy_id,
+            cfg.capacity,
         )
         value = _rows.encode_registered(entry)
         while not await self._register(value):
--- a/src/tidegrade/daemon/_roster.py
+++ b/src/tidegrade/daemon/_roster.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 import attrs
 
@@ -58,13 +59,21 @@
     """The peers known by heartbeats, and the proxies that the platform lists.
 
     A peer is alive if its last heartbeat was sent at most ``alive_s`` seconds
-    ago, or ``relayed_s`` seconds if it came through relays.
+    ago, or ``relayed_s`` seconds if it came through relays. ``own_capacity``
+    is that of this proxy's VM in thousandths of a core, 0 if it is not known.
     """
 
     def __init__(
-        self, own_id: str, alive_s: float, relayed_s: float | None = None
+        self,
+        own_id: str,
+        alive_s: float,
+        relayed_s: float | None = None,
+        own_capacity: int = 0,
     ) -> None:
         self._own_id = own_id
+        self._own_capacity = own_capacity
+        #: Cached result of `capacities`; None after a change.
+        self._capacities: dict[str, int] | None = None
         self._alive_s = alive_s
         self._relayed_s = alive_s if relayed_s is None else relayed_s
         self._peers: dict[str, Peer] = {}
@@ -84,11 +93,13 @@
         known = self._listed.get(address)
         if known is None or known.vm != vm:
             self._listed[address] = _ListedVm(vm, now)
+            self._capacities = None
         return address
 
     def unlist(self, address: _links.Address) -> None:
         """Remove a listed address."""
         self._listed.pop(address, None)
+        self._capacities = None
 
     def record_heartbeat(
         self,
@@ -183,6 +194,7 @@
             # A new run at the same address shows that the former has ended.
             self._remove(self._peers[former])
         self._peers[peer.beat.proxy] = peer
+        self._capacities = None
         self._id_by_address[peer.address] = peer.beat.proxy
         self._index(peer)
         self._record_newest(peer, now)
@@ -190,6 +202,7 @@
     def _remove(self, peer: Peer) -> None:
         proxy = peer.beat.proxy
         del self._peers[proxy]
+        self._capacities = None
         if self._id_by_address.get(peer.address) == proxy:
             del self._id_by_address[peer.address]
         for serving in self._serving.values():
@@ -198,6 +211,8 @@
     def _change(
         self, peer: Peer, beat: messages.Heartbeat, now: float
     ) -> None:
+        if peer.beat.capacity != beat.capacity:
+            self._capacities = None
         peer.beat = beat
         revision = beat.revision()
         if revision == peer.revision:
@@ -335,6 +350,24 @@
             found.setdefault(vm.domain, set()).add(vm.id)
         return found
 
+    def capacities(self) -> Mapping[str, int]:
+        """Return the capacities of this proxy and all known or listed ones.
+
+        They are in thousandths of a core, 0 if unknown. A heartbeat without
+        a capacity may have passed an older relay, which drops it; then the
+        proxy's listed capacity counts.
+        """
+        if self._capacities is None:
+            found = {
+                listed.vm.id: listed.vm.capacity
+                for listed in self._listed.values()
+            }
+            for proxy, peer in self._peers.items():
+                found[proxy] = peer.beat.capacity or found.get(proxy, 0)
+            found[self._own_id] = self._own_capacity
+            self._capacities = found
+        return self._capacities
+
     def starting(self, now: float) -> set[str]:
         """Return recently listed proxies without a heartbeat so far."""
         return {vm.id for vm in self._starting(now)}
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -56,6 +56,7 @@
     beat.blind = body.blind
     beat.configAge = _config_age_ms(body.config_age)
     beat.storeGeneration = body.store_generation
+    beat.capacity = body.capacity
     opinions = beat.init('opinions', len(body.opinions))
     for slot, opinion in zip(opinions, body.opinions, strict=True):
         slot.site = opinion.key.site
@@ -296,6 +297,7 @@
         blind=beat.blind,
         config_age=_config_age_of(beat.configAge),
         store_generation=beat.storeGeneration,
+        capacity=beat.capacity,
         opinions=tuple(
             messages.GroupOpinion(_key_of(o), o.term, o.primaryDown)
             for o in beat.opinions
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -38,6 +38,8 @@
     the newest one, in seconds; None if that isn't known. It changes all the
     time, so heartbeats are compared without it. ``store_generation`` is the
     latest generation of the platform's table that the proxy knows.
+    ``capacity`` is that of the proxy's VM in thousandths of a core; 0 if it
+    is not known.
     """
 
     proxy: str
@@ -51,12 +53,15 @@
     blind: bool = False
     config_age: float | None = attrs.field(default=None, eq=False)
     store_generation: int = 0
+    capacity: int = 0
 
     def revision(self) -> int:
         """Return a checksum of 32 bits over the heartbeat's content.
 
         The configuration version is left out: all proxies change it at the
-        same time, and a proxy with a newer one announces that itself.
+        same time, and a proxy with a newer one announces that itself. So is
+        the capacity, which a process never changes: older proxies, which do
+        not know it, must compute the same checksum.
         """
         content = (
             self.proxy,
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -33,6 +33,7 @@
   configAge @9 :UInt32;  # ms since its configuration was known to be the
                          # newest, plus one; 0: not known
   storeGeneration @10 :UInt32;  # latest known one of the platform's table
+  capacity @11 :UInt32;  # of its VM, in thousandths of a core; 0: not known
 }
 
 struct AgedHeartbeat {
--- a/src/tidegrade/ports/_platform.py
+++ b/src/tidegrade/ports/_platform.py
@@ -77,7 +77,10 @@
 
 @attrs.frozen
 class Vm:
-    """An entry of the VM list, which may be stale."""
+    """An entry of the VM list, which may be stale.
+
+    ``capacity`` is in thousandths of a core; 0 if it is not known.
+    """
 
     id: str
     role: str
@@ -85,6 +88,7 @@
     host: str
     port: int
     leaving: bool = False
+    capacity: int = 0
 
 
 class VmList(typing.Protocol):
--- a/src/tidegrade/session_proxy/_members.py
+++ b/src/tidegrade/session_proxy/_members.py
@@ -77,6 +77,7 @@
                     found.domain,
                     found.host,
                     found.port,
+                    capacity=found.capacity,
                 )
             )
         self._peers.learn_vms(vms)
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -250,6 +250,7 @@
             traits=self._adapters.traits,
             tick_s=cfg.tick_s,
             row_interval_s=cfg.row_interval_s,
+            capacity=core.thousandths(cfg.capacity),
         )
 
     async def _watch_signals(self) -> None:
@@ -488,6 +489,7 @@
             blind=self._watch.blind,
             config_age=self._watch.config_age(),
             store_generation=self._generations.current,
+            capacity=self._deps.capacity,
             opinions=tuple(
                 g.opinion() for g in self._groups.values() if g.serving
             ),
--- a/src/tidegrade/session_proxy/_settings.py
+++ b/src/tidegrade/session_proxy/_settings.py
@@ -18,7 +18,8 @@
     ``config_within_s`` of its acceptance. All endpoints are taken as
     registered once their list has not grown for ``settle_s``. After SIGTERM
     the load balancer has ``unready_s`` to notice that the proxy is not ready,
-    and the process must end within ``grace_s``.
+    and the process must end within ``grace_s``. ``capacity`` is that of the VM
+    in cores.
     """
 
     name: str
@@ -36,11 +37,12 @@
     suspect_after_s: float = 0.6
     report_interval_s: float = 0.35
     tick_s: float = 0.05
+    capacity: float = 1.0
 
 
 #: Settings that a reload does not change: other proxies know the process by
-#: them.
-IDENTITY_SETTINGS = ('name', 'domain', 'host', 'peer_port')
+#: them, and take its capacity for constant.
+IDENTITY_SETTINGS = ('name', 'domain', 'host', 'peer_port', 'capacity')
 
 
 def adopt(known: ProxySettings, found: ProxySettings) -> ProxySettings:
--- a/tests/codec/test_rows.py
+++ b/tests/codec/test_rows.py
@@ -2,12 +2,14 @@
 
 import json
 
+import attrs
 from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
 from tidegrade.codec import _rows
+from tidegrade.codec import _structure
 from tidegrade import core
 
 ROW = core.GroupRow(
@@ -42,6 +44,31 @@
     assert _rows.decode_registered(raw).unwrap() == ENTRY
 
 
+@attrs.frozen
+class _RegisteredBefore:
+    """A registration row as proxies without capacities read it."""
+
+    domain: str
+    host: str
+    port: int
+    proxy: str
+
+
+def test_registrations_are_read_across_versions():
+    """During an upgrade, proxies read rows of both versions.
+
+    A row that is rejected hides its proxy from supervisors.
+    """
+    entry = attrs.evolve(ENTRY, capacity=516)
+    raw = _rows.encode_registered(entry)
+    assert _rows.decode_registered(raw).unwrap() == entry
+    before = _structure.structure_lenient(raw, _RegisteredBefore).unwrap()
+    assert before == _RegisteredBefore('a', '10.0.0.1', 7440, 'p.0')
+    older = _structure.to_json(before)
+    assert _rows.decode_registered(older).unwrap() == ENTRY
+    assert ENTRY.capacity == 0
+
+
 @given(values)
 @example(None)
 @example(7)
--- a/tests/daemon/test_registration.py
+++ b/tests/daemon/test_registration.py
@@ -64,9 +64,18 @@
     return Table()
 
 
-def make(table: Table, run: str) -> _registration.Registration:
+def make(
+    table: Table, run: str, capacity: int = 0
+) -> _registration.Registration:
     deps = _deps.Deps(
-        f'vm-1.{run}', 'a', PEERS, None, None, table, random.Random(1)
+        f'vm-1.{run}',
+        'a',
+        PEERS,
+        None,
+        None,
+        table,
+        random.Random(1),
+        capacity=capacity,
     )
     return _registration.Registration(deps, lambda: None)
 
@@ -76,6 +85,12 @@
     return _rows.decode_registered(row.value).unwrap().proxy
 
 
+async def test_row_holds_the_capacity_of_the_vm(table):
+    await make(table, 'r1', capacity=361).run()
+    (row,) = table.rows.values()
+    assert _rows.decode_registered(row.value).unwrap().capacity == 361
+
+
 async def test_a_first_start_takes_two_calls(table):
     await make(table, 'r1').run()
     assert (registered(table), table.calls) == ('vm-1.r1', 2)
--- a/tests/peers/test_message_codec.py
+++ b/tests/peers/test_message_codec.py
@@ -23,6 +23,17 @@
     assert later.revision() != BEAT.revision()
 
 
+def test_capacity_is_sent_but_not_part_of_the_revision():
+    """Older proxies compute the revision without it.
+
+    With another checksum, each of their digests would cause a pull.
+    """
+    beat = attrs.evolve(BEAT, capacity=516)
+    sent = codec.encode(messages.PeerMessage(beat))
+    assert codec.decode(sent).body.capacity == 516
+    assert beat.revision() == BEAT.revision()
+
+
 @pytest.mark.parametrize(
     'body',
     [
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -37,10 +37,30 @@
     assert cfg.proxy.settle_s == pytest.approx(2.4)
 
 
+@pytest.mark.parametrize(
+    ('change', 'expected'),
+    [
+        ({}, 1.0),
+        ({'limits': None}, 1.0),
+        ({'limits': {}}, 1.0),
+        ({'limits': {'cpu_share': 0.5}}, 1.0),
+        ({'limits': {'cpu_share': 0, 'cpu_cores': 2}}, 1.0),
+        ({'limits': {'cpu_share': 0.537, 'cpu_cores': 2, 'x': 'y'}}, 1.074),
+        ({'limits': {'cpu_share': 1, 'cpu_cores': 2.15}}, 2.15),
+    ],
+)
+def test_capacity_is_the_share_of_the_cores(change, expected):
+    """Without limits a VM must count like those of older proxies."""
+    raw = json.dumps({**SETTINGS, **change}).encode()
+    cfg = _settings.read(raw).unwrap()
+    assert cfg.proxy.capacity == pytest.approx(expected)
+
+
 @pytest.mark.parametrize(
     'change',
     [
         {'node_name': 7},
+        {'limits': {'cpu_share': 'half', 'cpu_cores': 2}},
         {'internal_ports': []},
         {'listen': {'front': 'nowhere'}},
         {'platform': {}},
