Put homes and relays on the largest VMs

Ruled out: the same order for quota owners and watchers, on which all proxies must agree at each moment or with older versions.

Change: HomeMap and Gossip use the capacities of the roster. Event 1406 tells a home how many share its connections; the new 1409 tells the other proxies when the number of a group's homes changes. The gauge tidegrade_group_homes shows it at all proxies.

Before: relays and homes by hash alone; a proxy that is no home logged nothing as the number changed.

--- a/src/tidegrade/adapters/_metrics.py
+++ b/src/tidegrade/adapters/_metrics.py
@@ -57,6 +57,10 @@
             'tidegrade_group_waiting',
             'Requests that wait for a connection, by group.',
         )
+        self.homes = self._gauge(
+            'tidegrade_group_homes',
+            'Proxies that keep connections to each group.',
+        )
         self.requests_in_flight = self._gauge(
             'tidegrade_requests_in_flight', 'Requests not yet answered.'
         )
--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -450,8 +450,10 @@
         return self._identity.proxy in self.relays(self._identity.domain)
 
     def relays(self, domain: str) -> tuple[str, ...]:
-        """Return the relays of a failure domain, chosen by rendezvous hashing.
+        """Return the relays of a failure domain.
 
+        They are the proxies with the largest VMs, since relays send the most;
+        rendezvous hashing decides between VMs of equal capacity.
         This proxy may be one of them. Proxies that were listed recently but
         have sent no heartbeat yet count too, since they may be restarted
         relays.
@@ -460,7 +462,9 @@
         proxies = candidates.get(domain, set())
         if domain == self._identity.domain:
             proxies = proxies | {self._identity.proxy}
-        return core.top_ranked(f'relay {domain}', proxies, RELAYS)
+        return core.largest_first(
+            f'relay {domain}', proxies, self._roster.capacities(), RELAYS
+        )
 
 
 @attrs.define
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -147,6 +147,11 @@
         logging.INFO,
         "the share of a group's connections has changed",
     )
+    HOMES_CHANGED = (
+        1409,
+        logging.INFO,
+        "the number of a group's homes has changed",
+    )
     ENDPOINT_LEAVING = (1501, logging.INFO, 'endpoints are leaving')
     CONNECT_FAILED = (
         1502,
--- a/src/tidegrade/session_proxy/_homes.py
+++ b/src/tidegrade/session_proxy/_homes.py
@@ -6,6 +6,7 @@
 from tidegrade import core
 from tidegrade.daemon import _peers_task
 from tidegrade.daemon import _roster
+from tidegrade import logs
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 
@@ -30,6 +31,7 @@
         self._clock = clock
         self._by_tenant = by_tenant
         self._failed_at: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
         self._in_flight: dict[str, int] = {}
 
     def homes_of(
@@ -54,6 +56,7 @@
             self._identity.domain,
             proxies,
             self._by_tenant(),
+            self._peers.capacities(),
         )
         if found.count == sum(map(len, proxies.values())):
             # All proxies serve the group; those that the platform listed
@@ -61,6 +64,31 @@
             return core.Homes(True, 1 + self._peers.peer_count())
         return core.Homes(found.is_home and not draining, found.count)
 
+    def sharer_count(
+        self, group: str, cfg: config.Group, draining: bool
+    ) -> int:
+        """Return the number of homes of a group that this proxy serves.
+
+        It is 0 if this proxy is not one of them; then a changed number is
+        logged here. The number among homes is logged by their group task.
+        """
+        found = self.homes_of(group, cfg, draining)
+        before, self._counts[group] = self.home_count(group), found.count
+        if found.is_home:
+            return found.count
+        if found.count != before:
+            logs.write_bounded(
+                logs.LogEvent.HOMES_CHANGED,
+                group=group,
+                homes=found.count,
+                before=before,
+            )
+        return 0
+
+    def home_count(self, group: str) -> int:
+        """Return the number of homes of a group at the last check."""
+        return self._counts.get(group, 0)
+
     def pick(
         self,
         key: messages.GroupKey,
@@ -112,7 +140,13 @@
     ) -> list[str]:
         """Return the homes expected before their heartbeats have arrived."""
         proxies = self._peers.candidates()
-        found = core.expected_homes(key.group, cfg, proxies, self._by_tenant())
+        found = core.expected_homes(
+            key.group,
+            cfg,
+            proxies,
+            self._by_tenant(),
+            self._peers.capacities(),
+        )
         return [proxy for proxy in found if self._is_usable(proxy, tried)]
 
     def forwarded(self, proxy: str) -> None:
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -345,6 +345,7 @@
             labels = {'site': key.site, 'group': key.group}
             machine = group.machine
             self._metrics.waiting.set(labels, machine.waiting)
+            self._metrics.homes.set(labels, self._homes.home_count(key.group))
             if machine.row is not None:
                 self._metrics.term.set(labels, machine.row.term)
             for name in machine.cfg.endpoints:
@@ -422,8 +423,7 @@
 
         It is 0 if this proxy is not one of them.
         """
-        found = self._homes.homes_of(name, cfg, self._stopping.is_set())
-        return found.count if found.is_home else 0
+        return self._homes.sharer_count(name, cfg, self._stopping.is_set())
 
     async def _watch_homes(self) -> None:
         """Update which groups are served as proxies join and leave."""
--- a/tests/session_proxy/test_home_map.py
+++ b/tests/session_proxy/test_home_map.py
@@ -9,6 +9,7 @@
 from tidegrade.daemon import _deps
 from tidegrade.daemon import _peers_task
 from tidegrade.daemon import _roster
+from tidegrade import logs
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 from tidegrade.session_proxy import _homes
@@ -148,3 +149,63 @@
     assert pick(homes, 'acme') != home
     hear(peers)
     assert pick(homes, 'acme') == home
+
+
+def list_unequal(peers, large: tuple[int, ...]) -> None:
+    """List 30 proxies of this domain, some of them on large VMs."""
+    peers.learn_vms(
+        [
+            ports.Vm(
+                f'vm-{n}.r',
+                'proxy',
+                'a',
+                'h',
+                n,
+                capacity=2150 if n in large else 361,
+            )
+            for n in range(2, 32)
+        ]
+    )
+
+
+def test_starting_large_vms_are_the_homes(homes, peers):
+    """Rows tell capacities before the first heartbeats do."""
+    list_unequal(peers, large=(5, 9))
+    found = homes.homes_of('g', CFG, False)
+    assert found == core.Homes(False, 2)
+    tried = frozenset()
+    for _ in range(2):
+        tried |= {homes.pick(KEY, CFG, '', False, tried)}
+    assert tried == {'vm-5.r', 'vm-9.r'}
+    assert homes.pick(KEY, CFG, '', False, tried) is None
+
+
+@pytest.fixture
+def logged(monkeypatch) -> list[tuple[logs.LogEvent, dict[str, object]]]:
+    lines = []
+    monkeypatch.setattr(
+        logs, 'write_bounded', lambda event, **f: lines.append((event, f))
+    )
+    return lines
+
+
+def test_changed_number_of_homes_is_logged_once_by_other_proxies(
+    homes, peers, logged
+):
+    """Operators see when requests go to fewer or other homes."""
+    assert homes.sharer_count('g', CFG, False) == 0
+    assert logged == []
+    list_unequal(peers, large=(5, 9))
+    for _ in range(3):
+        assert homes.sharer_count('g', CFG, False) == 0
+    changed = {'group': 'g', 'homes': 2, 'before': 0}
+    assert logged == [(logs.LogEvent.HOMES_CHANGED, changed)]
+    assert homes.home_count('g') == 2
+
+
+def test_home_leaves_the_logging_to_its_group_task(homes, peers, logged):
+    """Event 1406 tells the number of homes that share connections."""
+    peers.learn_vms([])
+    assert homes.sharer_count('g', CFG, False) == 1
+    assert logged == []
+    assert homes.home_count('g') == 1
