Split core/limits/_quota.py by job

Cause: the module held the bucket, the owner's decisions and the choice of owners, and part 2 of docs/design/uneven-load.md adds to each.

--- /dev/null
+++ b/src/tidegrade/core/limits/_bucket.py
@@ -0,0 +1,130 @@
+"""Token bucket of one tenant at one proxy."""
+
+import attrs
+
+from tidegrade import tenants
+
+#: Operations that a new owner may grant at once. The sum over several
+#: consecutive changes of owner must stay below the permitted excess.
+INITIAL_GRANTS = 2.0
+#: Part of the limit that a new owner grants at most, and for how long, in
+#: seconds: until the previous owner must have detected a partition. Their
+#: product is a time at the full limit, and stays below the permitted excess
+#: of half a second.
+NEW_OWNER_PART = 0.2
+NEW_OWNER_PERIOD_S = 2.6
+#: The same for an owner whose process has just started: other proxies ask it
+#: sooner than they detect a partition, and after a restart of all proxies no
+#: other proxy grants.
+NEW_PROCESS_PART = 0.4
+NEW_PROCESS_PERIOD_S = 1.4
+#: Part of the limit that a fallback owner grants while it still sees the
+#: usual owner alive after ``NEW_OWNER_PERIOD_S``: the usual owner grants the
+#: full limit to the proxies that reach it.
+FALLBACK_OWNER_PART = 0.05
+#: Time without requests to the fallback owner after which its fallback
+#: period starts again, in seconds: at least the longest window of a quota.
+FALLBACK_RESET_S = 5.0
+
+
+@attrs.define
+class GrantCounts:
+    """Decisions on a tenant's operations since the last report.
+
+    ``taken_off`` counts the grants of fallback owners that were deducted.
+    """
+
+    granted: int = 0
+    refused: int = 0
+    given_back: int = 0
+    taken_off: int = 0
+
+
+@attrs.define
+class Bucket:
+    """Token bucket of a tenant; ``level`` is in operations.
+
+    The level is below 0 while granted operations wait for their start.
+    """
+
+    tenant: tenants.Tenant
+    part: float
+    level: float
+    refilled_at: float
+    #: Highest part of the limit granted until ``reduced_until``, in seconds.
+    reduced_part: float = 1.0
+    reduced_until: float = float('-inf')
+    #: When this proxy began to grant although it sees the tenant's usual
+    #: owner alive, and when it last did so, in seconds.
+    fallback_since: float | None = None
+    last_fallback_at: float = float('-inf')
+    counts: GrantCounts = attrs.field(factory=GrantCounts)
+
+    @property
+    def rate(self) -> float:
+        """Operations per second that this proxy grants."""
+        return self.tenant.rate * self.part
+
+    @property
+    def capacity(self) -> float:
+        """Capacity of the bucket, in operations."""
+        return max(1.0, self.tenant.burst * self.part)
+
+    def refill(self, now: float) -> None:
+        """Add the operations accrued since the last refill."""
+        reduced_s = max(0.0, min(now, self.reduced_until) - self.refilled_at)
+        full_s = max(0.0, now - max(self.refilled_at, self.reduced_until))
+        reduced_rate = min(self.part, self.reduced_part) * self.tenant.rate
+        accrued = reduced_s * reduced_rate + full_s * self.rate
+        self.level = min(self.level + accrued, self.capacity)
+        self.refilled_at = max(self.refilled_at, now)
+
+    def act_as_fallback(self, now: float) -> None:
+        """Reduce the rate and cap the level beside the usual owner."""
+        pause = now - self.last_fallback_at
+        if self.fallback_since is None or pause > FALLBACK_RESET_S:
+            self.fallback_since = now
+        self.last_fallback_at = now
+        expired = now - self.fallback_since >= NEW_OWNER_PERIOD_S
+        self.reduced_part = FALLBACK_OWNER_PART if expired else NEW_OWNER_PART
+        self.reduced_until = float('inf')
+        self.level = min(self.level, INITIAL_GRANTS)
+
+    def act_as_owner(self) -> None:
+        """End a fallback period.
+
+        The full rate applies ``NEW_OWNER_PERIOD_S`` after its start.
+        """
+        if self.fallback_since is not None:
+            self.reduced_part = NEW_OWNER_PART
+            self.reduced_until = self.fallback_since + NEW_OWNER_PERIOD_S
+            self.fallback_since = None
+
+    def current_rate(self, now: float) -> float:
+        """Return the operations per second that are granted at ``now``."""
+        if now < self.reduced_until:
+            return min(self.part, self.reduced_part) * self.tenant.rate
+        return self.rate
+
+    def time_to_next(self, now: float) -> float:
+        """Return the time until one more operation may start, in seconds."""
+        if self.level >= 1:
+            return 0.0
+        rate = self.current_rate(now)
+        if rate <= 0:
+            return float('inf')
+        return (1 - self.level) / rate
+
+
+def new_bucket(
+    tenant: tenants.Tenant, part: float, process_age: float, now: float
+) -> Bucket:
+    """Return the bucket of an owner whose predecessor may still grant.
+
+    ``process_age`` is the time since this process started, in seconds.
+    """
+    reduced_part, reduced_for = NEW_OWNER_PART, NEW_OWNER_PERIOD_S
+    if process_age < NEW_OWNER_PERIOD_S:
+        reduced_part, reduced_for = NEW_PROCESS_PART, NEW_PROCESS_PERIOD_S
+    level = min(INITIAL_GRANTS, tenant.burst)
+    return Bucket(tenant, part, level, now, reduced_part, now + reduced_for)
--- a/src/tidegrade/core/limits/_quota.py
+++ b/src/tidegrade/core/limits/_quota.py
@@ -11,46 +11,17 @@
 owner deducts them, so that both together grant no more than the limit.
 """
 
-from collections.abc import Collection
 from collections.abc import Iterator
-from collections.abc import Mapping
 
 import attrs
 
-from tidegrade.core.placing import _rendezvous
+from tidegrade.core.limits import _bucket
 from tidegrade import tenants
 
 #: How long after its start time a grant may be returned, in seconds: the
 #: time of an immediate refusal. A grant that is returned later would be
 #: granted a second time within the window in which it was first issued.
 GRANT_RETURN_PERIOD_S = 0.05
-#: Operations that a new owner may grant at once. The sum over several
-#: consecutive changes of owner must stay below the permitted excess.
-INITIAL_GRANTS = 2.0
-#: Part of the limit that a new owner grants at most, and for how long, in
-#: seconds: until the previous owner must have detected a partition. Their
-#: product is a time at the full limit, and stays below the permitted excess
-#: of half a second.
-NEW_OWNER_PART = 0.2
-NEW_OWNER_PERIOD_S = 2.6
-#: The same for an owner whose process has just started: other proxies ask it
-#: sooner than they detect a partition, and after a restart of all proxies no
-#: other proxy grants.
-NEW_PROCESS_PART = 0.4
-NEW_PROCESS_PERIOD_S = 1.4
-#: Part of the limit that a fallback owner grants while it still sees the
-#: usual owner alive after ``NEW_OWNER_PERIOD_S``: the usual owner grants the
-#: full limit to the proxies that reach it.
-FALLBACK_OWNER_PART = 0.05
-#: Time without requests to the fallback owner after which its fallback
-#: period starts again, in seconds: at least the longest window of a quota.
-FALLBACK_RESET_S = 5.0
-#: Weight of a recently listed proxy without a heartbeat yet: less than
-#: one, since it may be behind a partition that this process has not detected.
-STARTING_WEIGHT = 0.5
-#: Candidates that are asked for one operation: a proxy that is partitioned
-#: from two failure domains still reaches a candidate in its own.
-MAX_CANDIDATES = 3
 
 
 @attrs.frozen
@@ -87,86 +58,6 @@
     at: float = 0.0
 
 
-@attrs.define
-class GrantCounts:
-    """Decisions on a tenant's operations since the last report.
-
-    ``taken_off`` counts the grants of fallback owners that were deducted.
-    """
-
-    granted: int = 0
-    refused: int = 0
-    given_back: int = 0
-    taken_off: int = 0
-
-
-@attrs.define
-class Bucket:
-    """Token bucket of a tenant; ``level`` is in operations.
-
-    The level is below 0 while granted operations wait for their start.
-    """
-
-    tenant: tenants.Tenant
-    part: float
-    level: float
-    refilled_at: float
-    #: Highest part of the limit granted until ``reduced_until``, in seconds.
-    reduced_part: float = 1.0
-    reduced_until: float = float('-inf')
-    #: When this proxy began to grant although it sees the tenant's usual
-    #: owner alive, and when it last did so, in seconds.
-    fallback_since: float | None = None
-    last_fallback_at: float = float('-inf')
-    counts: GrantCounts = attrs.field(factory=GrantCounts)
-
-    @property
-    def rate(self) -> float:
-        """Operations per second that this proxy grants."""
-        return self.tenant.rate * self.part
-
-    @property
-    def capacity(self) -> float:
-        """Capacity of the bucket, in operations."""
-        return max(1.0, self.tenant.burst * self.part)
-
-    def refill(self, now: float) -> None:
-        """Add the operations accrued since the last refill."""
-        reduced_s = max(0.0, min(now, self.reduced_until) - self.refilled_at)
-        full_s = max(0.0, now - max(self.refilled_at, self.reduced_until))
-        reduced_rate = min(self.part, self.reduced_part) * self.tenant.rate
-        accrued = reduced_s * reduced_rate + full_s * self.rate
-        self.level = min(self.level + accrued, self.capacity)
-        self.refilled_at = max(self.refilled_at, now)
-
-    def act_as_fallback(self, now: float) -> None:
-        """Reduce the rate and cap the level beside the usual owner."""
-        pause = now - self.last_fallback_at
-        if self.fallback_since is None or pause > FALLBACK_RESET_S:
-            self.fallback_since = now
-        self.last_fallback_at = now
-        expired = now - self.fallback_since >= NEW_OWNER_PERIOD_S
-        self.reduced_part = FALLBACK_OWNER_PART if expired else NEW_OWNER_PART
-        self.reduced_until = float('inf')
-        self.level = min(self.level, INITIAL_GRANTS)
-
-    def act_as_owner(self) -> None:
-        """End a fallback period.
-
-        The full rate applies ``NEW_OWNER_PERIOD_S`` after its start.
-        """
-        if self.fallback_since is not None:
-            self.reduced_part = NEW_OWNER_PART
-            self.reduced_until = self.fallback_since + NEW_OWNER_PERIOD_S
-            self.fallback_since = None
-
-    def current_rate(self, now: float) -> float:
-        """Return the operations per second that are granted at ``now``."""
-        if now < self.reduced_until:
-            return min(self.part, self.reduced_part) * self.tenant.rate
-        return self.rate
-
-
 class QuotaOwner:
     """Grants operations of the tenants whose quotas this proxy owns.
 
@@ -176,7 +67,7 @@
 
     def __init__(self, started_at: float = float('-inf')) -> None:
         self._started_at = started_at
-        self._buckets: dict[str, Bucket] = {}
+        self._buckets: dict[str, _bucket.Bucket] = {}
 
     def __iter__(self) -> Iterator[str]:
         return iter(self._buckets)
@@ -194,12 +85,12 @@
         ``is_fallback`` means that this proxy sees the tenant's usual owner
         alive, so that the usual owner may be granting at the same time.
         """
-        bucket = self._bucket(tenant, part, now)
+        bucket = self._current_bucket(tenant, part, now)
         if is_fallback:
             bucket.act_as_fallback(now)
         else:
             bucket.act_as_owner()
-        wait = self._wait(bucket, now)
+        wait = bucket.time_to_next(now)
         if wait > patience:
             bucket.counts.refused += 1
             return Grant(False, wait, part)
@@ -252,11 +143,11 @@
         for name in self._buckets.keys() - names:
             del self._buckets[name]
 
-    def reports(self) -> Iterator[tuple[Bucket, GrantCounts]]:
+    def reports(self) -> Iterator[tuple[_bucket.Bucket, _bucket.GrantCounts]]:
         """Yield buckets with their counts since the last report."""
         for bucket in self._buckets.values():
-            if bucket.counts != GrantCounts():
-                counts, bucket.counts = bucket.counts, GrantCounts()
+            if bucket.counts != _bucket.GrantCounts():
+                counts, bucket.counts = bucket.counts, _bucket.GrantCounts()
                 yield bucket, counts
 
     def level_of(self, name: str) -> float | None:
@@ -264,12 +155,13 @@
         bucket = self._buckets.get(name)
         return None if bucket is None else bucket.level
 
-    def _bucket(
+    def _current_bucket(
         self, tenant: tenants.Tenant, part: float, now: float
-    ) -> Bucket:
+    ) -> _bucket.Bucket:
         bucket = self._buckets.get(tenant.name)
         if bucket is None:
-            bucket = self._new_bucket(tenant, part, now)
+            process_age = now - self._started_at
+            bucket = _bucket.new_bucket(tenant, part, process_age, now)
             self._buckets[tenant.name] = bucket
         bucket.refill(now)
         # A lower limit also applies to operations accrued before it.
@@ -277,62 +169,3 @@
         bucket.part = part
         bucket.level = min(bucket.level, bucket.capacity)
         return bucket
-
-    def _new_bucket(
-        self, tenant: tenants.Tenant, part: float, now: float
-    ) -> Bucket:
-        reduced_part, reduced_for = NEW_OWNER_PART, NEW_OWNER_PERIOD_S
-        if now - self._started_at < NEW_OWNER_PERIOD_S:
-            reduced_part, reduced_for = NEW_PROCESS_PART, NEW_PROCESS_PERIOD_S
-        level = min(INITIAL_GRANTS, tenant.burst)
-        return Bucket(
-            tenant, part, level, now, reduced_part, now + reduced_for
-        )
-
-    @staticmethod
-    def _wait(bucket: Bucket, now: float) -> float:
-        """Return the time until one more operation may start, in seconds."""
-        if bucket.level >= 1:
-            return 0.0
-        rate = bucket.current_rate(now)
-        if rate <= 0:
-            return float('inf')
-        return (1 - bucket.level) / rate
-
-
-def quota_owners(
-    tenant: str, proxies: Mapping[str, str], excluded: Collection[str]
-) -> tuple[str, ...]:
-    """Return the proxies to ask for a grant, the usual owner first.
-
-    ``proxies`` maps the proxies that take work to their failure domains.
-    Each further candidate is in another domain: an owner that does not
-    answer may be partitioned together with its whole domain.
-    """
-    found: dict[str, str] = {}
-    order = _rendezvous.top_ranked(_hash_key(tenant), proxies, len(proxies))
-    for proxy in order:
-        if proxy not in excluded:
-            found.setdefault(proxies[proxy], proxy)
-    return tuple(found.values())[:MAX_CANDIDATES]
-
-
-def owns_quota(tenant: str, own: str, proxies: Collection[str]) -> bool:
-    """Return whether proxy ``own`` is the usual owner of a quota."""
-    return _rendezvous.highest_ranked(_hash_key(tenant), proxies) == own
-
-
-def visible_part(seen: int, known: int, starting: int = 0) -> float:
-    """Return the part of all ``known`` proxies that this one sees.
-
-    ``known`` includes proxies without a heartbeat for a long time: if
-    they are partitioned, they grant their own part. ``starting`` is the
-    number of proxies listed just now, which count with a lower weight:
-    after a restart of all proxies none has sent a heartbeat yet.
-    """
-    return min(1.0, (seen + starting * STARTING_WEIGHT) / max(known, 1))
-
-
-def _hash_key(tenant: str) -> str:
-    """Return the key that is hashed to choose the quota's owner."""
-    return f'quota {tenant}'
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tidegrade import core
+from tidegrade.core.limits import _bucket
 from tidegrade.core.limits import _quota
 from tidegrade import tenants
 
@@ -201,13 +202,14 @@
         for n in range(100)
     )
     assert (
-        granted <= 10 * RATE * _quota.FALLBACK_OWNER_PART + core.INITIAL_GRANTS
+        granted
+        <= 10 * RATE * _bucket.FALLBACK_OWNER_PART + core.INITIAL_GRANTS
     )
 
 
 def test_a_fallback_that_becomes_the_owner_grants_the_full_rate(owner):
     owner.grant(tenant(), 1.0, 0.0, 0.0, is_fallback=True)
-    start = _quota.NEW_OWNER_PERIOD_S + 0.1
+    start = _bucket.NEW_OWNER_PERIOD_S + 0.1
     assert len(flood(owner, 2.0, start=start)) >= 2 * RATE - 1
 
 
