Count how long a quota owner has been first, not when it was first asked

Cause: a quota owner counted as new from the first operation that it was asked to grant, though it may have been ranked first for long.

Ruled out: computing the owned tenants at each change of membership, which costs tenants x proxies; the time is derived from the recorded departures when a tenant has no bucket yet. Counting from the start of the process: it finds itself first for every tenant until it has the list of VMs.

Change: core.Ownership; the bucket of an owner first for 2.6 s holds what accrued since then at the parts that were visible; a reduced period ends at latest 2.6 s after the owner became first. Pauses are noticed before each grant and reset the time (event 1611). Grants that a fallback owner reports before the first request are deducted.

Before: 2 of 200 operations granted at once by an owner first for 14 s.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -99,6 +99,7 @@
 from tidegrade.core.limits._owners import owns_quota
 from tidegrade.core.limits._owners import quota_owners
 from tidegrade.core.limits._owners import visible_part
+from tidegrade.core.limits._ownership import Ownership
 from tidegrade.core.limits._quota import Admission
 from tidegrade.core.limits._quota import Grant
 from tidegrade.core.limits._quota import GRANT_RETURN_PERIOD_S
@@ -171,6 +172,7 @@
     'OpenConn',
     'Opinion',
     'Outcome',
+    'Ownership',
     'PollingDutyChanged',
     'Position',
     'Prepared',
--- a/src/tidegrade/core/limits/_bucket.py
+++ b/src/tidegrade/core/limits/_bucket.py
@@ -1,5 +1,7 @@
 """Token bucket of one tenant at one proxy."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from tidegrade import tenants
@@ -128,3 +130,25 @@
         reduced_part, reduced_for = NEW_PROCESS_PART, NEW_PROCESS_PERIOD_S
     level = min(INITIAL_GRANTS, tenant.burst)
     return Bucket(tenant, part, level, now, reduced_part, now + reduced_for)
+
+
+def established_bucket(
+    tenant: tenants.Tenant,
+    parts: Iterable[tuple[float, float]],
+    first_since: float,
+) -> Bucket:
+    """Return the bucket of an owner without a predecessor that may grant.
+
+    ``first_since`` is when this proxy became first, at least
+    ``NEW_OWNER_PERIOD_S`` ago. Operations accrue from the end of that period
+    at the parts that were visible then: ``parts`` holds the time of each
+    change and the part from then on, in order.
+    """
+    start = first_since + NEW_OWNER_PERIOD_S
+    level = min(INITIAL_GRANTS, tenant.burst)
+    bucket = Bucket(tenant, 0.0, level, start)
+    for at, part in parts:
+        if at > start:
+            bucket.refill(at)
+        bucket.part = part
+    return bucket
--- a/src/tidegrade/core/limits/_owners.py
+++ b/src/tidegrade/core/limits/_owners.py
@@ -23,7 +23,7 @@
     answer may be partitioned together with its whole domain.
     """
     found: dict[str, str] = {}
-    order = _rendezvous.top_ranked(_hash_key(tenant), proxies, len(proxies))
+    order = _rendezvous.top_ranked(hash_key(tenant), proxies, len(proxies))
     for proxy in order:
         if proxy not in excluded:
             found.setdefault(proxies[proxy], proxy)
@@ -32,7 +32,7 @@
 
 def owns_quota(tenant: str, own: str, proxies: Collection[str]) -> bool:
     """Return whether proxy ``own`` is the usual owner of a quota."""
-    return _rendezvous.highest_ranked(_hash_key(tenant), proxies) == own
+    return _rendezvous.highest_ranked(hash_key(tenant), proxies) == own
 
 
 def visible_part(seen: int, known: int, starting: int = 0) -> float:
@@ -46,6 +46,6 @@
     return min(1.0, (seen + starting * STARTING_WEIGHT) / max(known, 1))
 
 
-def _hash_key(tenant: str) -> str:
+def hash_key(tenant: str) -> str:
     """Return the key that is hashed to choose the quota's owner."""
     return f'quota {tenant}'
--- a/src/tidegrade/core/limits/_quota.py
+++ b/src/tidegrade/core/limits/_quota.py
@@ -6,7 +6,8 @@
 proxies it grants that part of the rate, so that the owners on both sides of
 a network partition together grant no more than the limit. A new owner starts
 with a nearly empty bucket and a reduced rate: its predecessor may still be
-granting on the other side of a partition that neither has detected yet.
+granting on the other side of a partition that neither has detected yet. How
+long a proxy has been first counts, not when it was first asked.
 A fallback owner that sees the owner alive reports its grants to it, and the
 owner deducts them, so that both together grant no more than the limit.
 """
@@ -16,6 +17,7 @@
 import attrs
 
 from tidegrade.core.limits import _bucket
+from tidegrade.core.limits import _ownership
 from tidegrade import tenants
 
 #: How long after its start time a grant may be returned, in seconds: the
@@ -68,6 +70,8 @@
     def __init__(self, started_at: float = float('-inf')) -> None:
         self._started_at = started_at
         self._buckets: dict[str, _bucket.Bucket] = {}
+        #: When the visible part changed, and its value from then on.
+        self._parts: list[tuple[float, float]] = []
 
     def __iter__(self) -> Iterator[str]:
         return iter(self._buckets)
@@ -79,13 +83,16 @@
         patience: float,
         now: float,
         is_fallback: bool = False,
+        first_since: float | None = None,
     ) -> Grant:
         """Grant an operation that can wait for ``patience`` seconds.
 
         ``is_fallback`` means that this proxy sees the tenant's usual owner
         alive, so that the usual owner may be granting at the same time.
+        ``first_since`` is since when this proxy has been the usual owner;
+        None if it isn't, or if that isn't known.
         """
-        bucket = self._current_bucket(tenant, part, now)
+        bucket = self._current_bucket(tenant, part, now, first_since)
         if is_fallback:
             bucket.act_as_fallback(now)
         else:
@@ -112,6 +119,20 @@
         bucket.counts.given_back += 1
         return True
 
+    def prepare(
+        self, tenant: tenants.Tenant, first_since: float | None, now: float
+    ) -> None:
+        """Create the bucket of an established owner if there is none.
+
+        Otherwise grants that fallback owners report before the first request
+        here would not be deducted from what has accrued.
+        """
+        if tenant.name not in self._buckets and _is_established(
+            first_since, now
+        ):
+            part = self._parts[-1][1] if self._parts else 0.0
+            self._current_bucket(tenant, part, now, first_since)
+
     def take_off(self, name: str, now: float) -> None:
         """Deduct a grant that a fallback owner gave.
 
@@ -126,6 +147,11 @@
 
     def observe(self, part: float, now: float) -> None:
         """Set the part of all proxies that is seen from ``now`` on."""
+        if not self._parts or self._parts[-1][1] != part:
+            self._parts.append((now, part))
+            oldest = now - _ownership.HISTORY_S
+            while len(self._parts) > 1 and self._parts[1][0] <= oldest:
+                del self._parts[0]
         for bucket in self._buckets.values():
             bucket.refill(now)
             bucket.part = part
@@ -156,12 +182,15 @@
         return None if bucket is None else bucket.level
 
     def _current_bucket(
-        self, tenant: tenants.Tenant, part: float, now: float
+        self,
+        tenant: tenants.Tenant,
+        part: float,
+        now: float,
+        first_since: float | None,
     ) -> _bucket.Bucket:
         bucket = self._buckets.get(tenant.name)
         if bucket is None:
-            process_age = now - self._started_at
-            bucket = _bucket.new_bucket(tenant, part, process_age, now)
+            bucket = self._first_bucket(tenant, part, now, first_since)
             self._buckets[tenant.name] = bucket
         bucket.refill(now)
         # A lower limit also applies to operations accrued before it.
@@ -169,3 +198,26 @@
         bucket.part = part
         bucket.level = min(bucket.level, bucket.capacity)
         return bucket
+
+    def _first_bucket(
+        self,
+        tenant: tenants.Tenant,
+        part: float,
+        now: float,
+        first_since: float | None,
+    ) -> _bucket.Bucket:
+        if first_since is not None and _is_established(first_since, now):
+            return _bucket.established_bucket(tenant, self._parts, first_since)
+        process_age = now - self._started_at
+        bucket = _bucket.new_bucket(tenant, part, process_age, now)
+        if first_since is not None:
+            until = first_since + _bucket.NEW_OWNER_PERIOD_S
+            bucket.reduced_until = min(bucket.reduced_until, until)
+        return bucket
+
+
+def _is_established(first_since: float | None, now: float) -> bool:
+    """Return whether a previous owner must have stopped granting."""
+    if first_since is None:
+        return False
+    return now - first_since >= _bucket.NEW_OWNER_PERIOD_S
--- a/src/tidegrade/daemon/_quotas.py
+++ b/src/tidegrade/daemon/_quotas.py
@@ -61,7 +61,10 @@
         self._tenant_named = named
         self._cut_off = cut_off
         self._draining = draining
-        self._owner = core.QuotaOwner(clock.now())
+        now = clock.now()
+        self._owner = core.QuotaOwner(now)
+        self._ownership = core.Ownership(identity.proxy, now)
+        self._update_due_at = now + UPDATE_INTERVAL_S
         self._domains: dict[str, str] = {}
         self._failed_at: dict[str, float] = {}
         self._next_report = float('-inf')
@@ -69,16 +72,27 @@
 
     async def run(self) -> None:
         """Update the known proxies and log reports until cancelled."""
-        last = self._clock.now()
         while True:
             await anyio.sleep(UPDATE_INTERVAL_S)
-            now = self._clock.now()
-            late = now - last - UPDATE_INTERVAL_S
-            if late > core.MAX_SCHEDULING_DELAY_S:
-                self._owner.paused(late)
-            last = now
             self.update_proxies()
-            self._report(now)
+            self._report(self._clock.now())
+
+    def _check_pause(self) -> None:
+        """Take a pause of this process into account before anything else.
+
+        Requests that arrived during the pause may be processed before the
+        task of :meth:`run` continues.
+        """
+        now = self._clock.now()
+        late = now - self._update_due_at
+        if late <= core.MAX_SCHEDULING_DELAY_S:
+            return
+        self._update_due_at = now
+        self._owner.paused(late)
+        self._ownership.reset(now)
+        logs.write(
+            logs.LogEvent.QUOTA_OWNERSHIP_RESET, pause_ms=round(late * 1000)
+        )
 
     def _report(self, now: float) -> None:
         """Log what this proxy granted as an owner, if a report is due."""
@@ -198,32 +212,51 @@
 
     def take_back(self, body: messages.QuotaBack) -> None:
         """Take back an unused grant that this proxy gave as owner."""
+        self._check_pause()
         self._owner.give_back(body.tenant, body.at, self._clock.now())
 
     def take_off(self, body: messages.QuotaTaken) -> None:
         """Deduct a grant that a fallback owner gave from this one's."""
-        self._owner.take_off(body.tenant, self._clock.now())
+        self._check_pause()
+        now = self._clock.now()
+        tenant = self._tenant_named(body.tenant)
+        if tenant is not None:
+            since = self._first_since(tenant.name, False, now)
+            self._owner.prepare(tenant, since, now)
+        self._owner.take_off(body.tenant, now)
 
     def _grant(
         self, tenant: tenants.Tenant, patience: float, instead_of: str
     ) -> core.Grant:
+        self._check_pause()
+        now = self._clock.now()
         usual, *_ = core.quota_owners(tenant.name, self._domains, ())
         is_fallback = usual != self._identity.proxy
         grant = self._owner.grant(
             tenant,
             self._visible_part(instead_of),
             patience,
-            self._clock.now(),
+            now,
             is_fallback=is_fallback,
+            first_since=self._first_since(tenant.name, is_fallback, now),
         )
         if is_fallback and grant.granted:
             self._peers.send_to(usual, messages.QuotaTaken(tenant.name))
         return grant
 
+    def _first_since(
+        self, name: str, is_fallback: bool, now: float
+    ) -> float | None:
+        """Return since when this proxy owns a workspace without a bucket."""
+        if is_fallback or self._owner.level_of(name) is not None:
+            return None
+        return self._ownership.first_since(name, now)
+
     # Known proxies --------------------------------------------------------
 
     def update_proxies(self) -> None:
         """Update the known proxies and the workspaces that this one owns."""
+        self._check_pause()
         domains = {
             proxy: domain
             for domain, proxies in self._peers.candidates().items()
@@ -237,7 +270,10 @@
                 p: at for p, at in self._failed_at.items() if p in domains
             }
             self._owner.retain_only(self._owned_tenants())
-        self._owner.observe(self._visible_part(''), self._clock.now())
+        now = self._clock.now()
+        self._update_due_at = now + UPDATE_INTERVAL_S
+        self._ownership.update(domains, now, self._peers.has_vm_list)
+        self._owner.observe(self._visible_part(''), now)
 
     def _owned_tenants(self) -> frozenset[str]:
         """Return the workspaces, of those with a bucket here, owned here."""
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -186,6 +186,11 @@
         logging.INFO,
         'operations granted from a quota by this proxy',
     )
+    QUOTA_OWNERSHIP_RESET = (
+        1611,
+        logging.INFO,
+        'quota ownership times were reset after a pause of this process',
+    )
     LINES_DROPPED = (1701, logging.WARNING, 'log lines were dropped')
     OUTCOME_UNKNOWN = (1602, logging.WARNING, 'an outcome is unknown')
 
--- a/tests/daemon/test_quota_owners.py
+++ b/tests/daemon/test_quota_owners.py
@@ -50,6 +50,7 @@
             return None
 
         super().__init__(deps, ignore)
+        self.has_vm_list = True
         self.asked: list[str] = []
         self.silent = False
 
@@ -79,7 +80,10 @@
         self.peers = Peers(self.clock)
         self.draining = False
         self.peers.receive_heartbeats()
-        self.quotas = _quotas.Quotas(
+        self.quotas = self.make_quotas()
+
+    def make_quotas(self) -> _quotas.Quotas:
+        return _quotas.Quotas(
             _roster.ProxyIdentity('vm-1.r', 'a'),
             self.peers,
             self.clock,
@@ -160,6 +164,48 @@
             assert bench.peers.domain_of(proxy) != 'c'
 
 
+async def test_an_owner_first_for_long_refuses_nothing_at_the_start(bench):
+    """Guards against refusals as the traffic of all workspaces begins."""
+    await run_quietly(bench, 4.0)
+    for name in NAMES:
+        for _ in range(10):
+            assert (await bench.admit(name)).granted
+
+
+async def test_after_a_pause_an_owner_counts_as_new(bench):
+    """Guards against a burst beside the owner of the time of the pause.
+
+    A request that arrived during the pause is processed before the task that
+    updates the proxies continues.
+    """
+    await run_quietly(bench, 4.0)
+    owned = await bench.owned_here()
+    bench.quotas = bench.make_quotas()
+    await run_quietly(bench, 4.0)
+    bench.clock.at += 1.0
+    results = [(await bench.admit(owned[0])).granted for _ in range(10)]
+    assert sum(results) == core.INITIAL_GRANTS
+
+
+async def test_a_process_without_the_list_of_vms_owns_nothing_yet(bench):
+    """It finds itself first for each workspace as it knows no other proxy."""
+    owned = await bench.owned_here()
+    bench.peers.has_vm_list = False
+    bench.quotas = bench.make_quotas()
+    await run_quietly(bench, 4.0)
+    results = [(await bench.admit(owned[0])).granted for _ in range(10)]
+    assert sum(results) == core.INITIAL_GRANTS
+
+
+async def run_quietly(bench: Bench, seconds: float) -> None:
+    """Let time pass with heartbeats and without requests."""
+    for step in range(round(seconds / _quotas.UPDATE_INTERVAL_S)):
+        bench.clock.at += _quotas.UPDATE_INTERVAL_S
+        if step % 2:
+            bench.peers.receive_heartbeats()
+        bench.quotas.update_proxies()
+
+
 RATE = 20.0
 BURST = 20.0
 #: Interval between heartbeats, and length of a step, in seconds.
--- a/tests/proofs/test_quota_model.py
+++ b/tests/proofs/test_quota_model.py
@@ -155,6 +155,7 @@
 
     def __init__(self) -> None:
         self._owners = {p: core.QuotaOwner() for p in PROXIES}
+        self._ownership = {p: core.Ownership(p, 0.0) for p in PROXIES}
         self._now = 0.0
         self._seen: dict[str, set[str]] = {}
 
@@ -170,12 +171,15 @@
     def _grant(self, owner: str, instead_of: str, model: Model) -> bool:
         part = self._part(owner, instead_of, model)
         name = model.tenant.name
+        is_first = core.owns_quota(name, owner, model.seen(owner))
+        since = self._ownership[owner].first_since(name, model.now)
         grant = self._owners[owner].grant(
             model.tenant,
             part,
             0.0,
             model.now,
-            is_fallback=not core.owns_quota(name, owner, model.seen(owner)),
+            is_fallback=not is_first,
+            first_since=since if is_first else None,
         )
         return grant.granted
 
@@ -197,13 +201,17 @@
                 owner.retain_only(names)
             if proxy not in model.frozen:
                 owner.observe(self._part(proxy, '', model), model.now)
+                self._ownership[proxy].update(seen, model.now)
 
     def restarted(self, proxy: str) -> None:
         self._owners[proxy] = core.QuotaOwner(self._now)
+        self._ownership[proxy] = core.Ownership(proxy, self._now)
         self._seen.pop(proxy, None)
 
     def resumed(self, proxy: str, seconds: float) -> None:
         self._owners[proxy].paused(seconds)
+        if seconds > core.MAX_SCHEDULING_DELAY_S:
+            self._ownership[proxy].reset(self._now)
 
 
 class FullRate(OwnerPolicy):
@@ -307,6 +315,18 @@
     make_policy = ReportedTotals
 
 
+class QuietTimesMachine(Machine):
+    """The same histories with quiet times, in which bursts accrue.
+
+    Guards against an owner that grants a burst beside its predecessor
+    because it has been first for long.
+    """
+
+    @stateful.rule(seconds=st.sampled_from([2.7, 4.0, 8.0]))
+    def nobody_asks(self, seconds):
+        self.model.advance(seconds, 0)
+
+
 HISTORIES = settings(
     max_examples=60,
     stateful_step_count=14,
@@ -324,6 +344,10 @@
     run_histories(Machine)
 
 
+def test_owners_first_for_long_do_not_exceed_the_permitted_excess():
+    run_histories(QuietTimesMachine)
+
+
 def test_reported_totals_exceed_the_limit():
     with pytest.raises(AssertionError):
         run_histories(ReportedTotalsMachine)
