--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -96,20 +96,21 @@
 from tidegrade.core._types import Statement
 from tidegrade.core._types import Trace
 from tidegrade.core._watching import PROMOTION_DELIVERY_S
+from tidegrade.core.limits._bucket import INITIAL_GRANTS
+from tidegrade.core.limits._owners import owns_quota
+from tidegrade.core.limits._owners import quota_owners
+from tidegrade.core.limits._owners import visible_part
+from tidegrade.core.limits._ownership import Ownership
 from tidegrade.core.limits._quota import Admission
 from tidegrade.core.limits._quota import Grant
 from tidegrade.core.limits._quota import GRANT_RETURN_PERIOD_S
-from tidegrade.core.limits._quota import INITIAL_GRANTS
-from tidegrade.core.limits._quota import owns_quota
-from tidegrade.core.limits._quota import quota_owners
 from tidegrade.core.limits._quota import QuotaOwner
-from tidegrade.core.limits._quota import visible_part
 from tidegrade.core.placing._capacity import largest_first
 from tidegrade.core.placing._capacity import thousandths
 from tidegrade.core.placing._homes import expected_homes
 from tidegrade.core.placing._homes import home_of_tenant
-from tidegrade.core.placing._homes import Homes
 from tidegrade.core.placing._homes import homes
+from tidegrade.core.placing._homes import Homes
 from tidegrade.core.placing._homes import owner_of
 from tidegrade.core.placing._rendezvous import highest_ranked
 from tidegrade.core.placing._rendezvous import rank
@@ -174,6 +175,7 @@
     'OpenConn',
     'Opinion',
     'Outcome',
+    'Ownership',
     'PollingDutyChanged',
     'Position',
     'Prepared',
