Elect a failing primary only for newer data

All endpoints had the same data, and the name decided.

Before: the failing primary elected again. After: the test's replica is elected, unless the primary alone has the newest data.

--- a/src/tidegrade/core/_election.py
+++ b/src/tidegrade/core/_election.py
@@ -13,13 +13,15 @@
     ``fenced`` holds the reports of the endpoints that have promised the
     next term, ``to_come`` the members of the next term and ``leaving`` the
     endpoints that get no new work. ``may_wait`` says that there is time
-    left for a replica to catch up.
+    left for a replica to catch up. ``failing`` holds the endpoints that fail
+    callers' statements.
     """
 
     fenced: dict[str, _types.EndpointReport]
     to_come: frozenset[str]
     leaving: frozenset[str]
     may_wait: bool
+    failing: frozenset[str] = frozenset()
 
 
 def choose_primary(row: _row.GroupRow, known: ElectionState) -> str | None:
@@ -29,7 +31,8 @@
     majority contains an endpoint that has it, and the one with the newest
     data has all of them. If that endpoint is not eligible, another must
     first catch up with it, unless the eligible endpoints are a majority by
-    themselves.
+    themselves. Of endpoints with equally new data, one that fails callers'
+    statements comes last.
     """
     if len(set(known.fenced) & row.members) < row.majority:
         return None
@@ -41,7 +44,10 @@
     if not eligible:
         return None
     newest = max(data_rank(report) for report in known.fenced.values())
-    best = max(eligible, key=lambda n: (data_rank(eligible[n]), n))
+    best = max(
+        eligible,
+        key=lambda n: (data_rank(eligible[n]), n not in known.failing, n),
+    )
     if data_rank(eligible[best]) >= newest:
         return best
     complete = len(set(eligible) & row.members) >= row.majority
--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -470,6 +470,7 @@
             leaving=seen.leaving,
             may_wait=not self._traits.fence_stops_replication
             and now - self._step_since < CATCH_UP_LIMIT_S,
+            failing=seen.failing,
         )
         chosen = _election.choose_primary(row, candidates)
         if chosen is None:
--- a/src/tidegrade/core/_supervision.py
+++ b/src/tidegrade/core/_supervision.py
@@ -20,7 +20,8 @@
     that possibly don't follow the primary, ``reachable`` those whose latest
     requests from this proxy have not failed, and ``gone`` those that no
     list has named for a long time. ``settled`` is true once the heartbeats
-    of the other proxies have had time to arrive.
+    of the other proxies have had time to arrive. ``failing`` are the
+    endpoints that answer polls but fail callers' statements here.
     """
 
     cfg: config.Group
@@ -34,6 +35,7 @@
     reachable: frozenset[str]
     gone: frozenset[str] = frozenset()
     settled: bool = True
+    failing: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -313,6 +313,9 @@
                 opinions=self._peers.opinions(self.key),
                 peers=self._peers.serving_ids(self.key),
                 leaving=frozenset(leaving),
+                failing=frozenset(
+                    filter(self.machine.fails_work, cfg.endpoints)
+                ),
                 replicas_to_repair=self.machine.replicas_to_repair(now),
                 reachable=self.machine.reachable(now),
                 gone=self.gone,
--- a/tests/core/test_work_health.py
+++ b/tests/core/test_work_health.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tidegrade import core
+from tidegrade.core import _election
 from tidegrade.core.health import _work
 
 RESET = core.JobFailed(core.Failure.LOST)
@@ -164,3 +165,28 @@
 def test_a_failed_poll_makes_a_working_endpoint_unreachable(machine):
     machine.core.views['a'].record_failure(False, machine.now)
     assert 'a' not in machine.core.reachable(machine.now)
+
+
+ALL = frozenset(machines.NAMES)
+
+
+@pytest.mark.parametrize(
+    ('replica_lsn', 'chosen'), [(200, 'b'), (199, 'c')], ids=['equal', 'older']
+)
+def test_a_failing_primary_is_elected_only_for_its_newer_data(
+    replica_lsn, chosen
+):
+    """With equal data the failing primary was elected again, by its name.
+
+    Newer data may hold acknowledged writes that the replicas lack.
+    """
+    fenced = {
+        'c': machines.report(200, promised=2, in_recovery=False),
+        'b': machines.report(replica_lsn, promised=2),
+        'a': machines.report(replica_lsn, promised=2),
+    }
+    known = _election.ElectionState(
+        fenced, ALL, frozenset(), False, frozenset('c')
+    )
+    row = core.GroupRow(1, 'c', ALL)
+    assert _election.choose_primary(row, known) == chosen
