--- a/src/tidegrade/session_proxy/_homes.py
+++ b/src/tidegrade/session_proxy/_homes.py
@@ -9,6 +9,7 @@
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
+from tidegrade.session_proxy import _groups
 
 #: Shortest time for which a proxy that did not answer gets no requests, in
 #: seconds. After it the proxy is used again once a heartbeat that it sent
@@ -79,7 +80,7 @@
         if found.count != before:
             logs.write_bounded(
                 logs.LogEvent.HOMES_CHANGED,
-                group=group,
+                group=str(messages.GroupKey(_groups.SITE, group)),
                 homes=found.count,
                 before=before,
             )
--- a/standins/tidegrade_edge/_site.py
+++ b/standins/tidegrade_edge/_site.py
@@ -38,7 +38,8 @@
     """The shape of a site; times in seconds.
 
     Where it is ``relayed``, all connections of proxies to the store and to
-    instances run through relays, which can disturb them.
+    instances run through relays, which can disturb them. ``cores`` are the
+    stated capacities of the proxies' VMs; they state none if it is empty.
     """
 
     service: str = 'svc-1'
@@ -48,6 +49,7 @@
     grace_s: float = 3.0
     relayed: bool = False
     max_conns: int = 30
+    cores: tuple[float, ...] = ()
 
 
 @attrs.define
@@ -312,6 +314,9 @@
             'platform': {'address': store},
             'cloud_api': {'address': store},
         }
+        if self.cfg.cores:
+            cores = self.cfg.cores[number]
+            settings['limits'] = {'cpu_share': cores / 2, 'cpu_cores': 2}
         path = self._folder / f'{name}.json'
         path.write_text(json.dumps(settings))
         log = (self._folder / f'{name}.log').open('ab')
