Measure exchanges of messages between two proxies

Cause: docs/design/uneven-load.md, part 4, halves the cost of messages between proxies; nothing measured one.

Change: make bench ONLY=peer_messages gives the processor time of a quota request and of a forwarded request with their answers, both ends in one process on uvloop, with one and with eight requests at once.

--- a/bench/tidegrade_bench/_experiments.py
+++ b/bench/tidegrade_bench/_experiments.py
@@ -6,6 +6,7 @@
 import statistics
 
 import anyio
+import anyio.to_thread
 import attrs
 from rich import console
 from rich import table
@@ -15,6 +16,7 @@
 from tidegrade_bench import _deployment
 from tidegrade_bench import _ledger
 from tidegrade_bench import _load
+from tidegrade_bench import _peer_messages
 from tidegrade_bench import _plan
 from tidegrade_bench import _workload
 from tidegrade_fakes import _run as fake_run
@@ -224,10 +226,33 @@
     return findings
 
 
+async def peer_messages() -> list[Finding]:
+    """Measure exchanges of messages between two proxies.
+
+    They run in a thread of their own on uvloop, as in the proxies.
+    """
+    costs = await anyio.to_thread.run_sync(_peer_messages.run)
+    return [
+        Finding(
+            f'peer messages, {cost.exchange}, {cost.callers} at once',
+            'loopback',
+            'both ends',
+            cost.per_cpu_second,
+            'exchanges per CPU second',
+            _peer_messages.EXCHANGES * _peer_messages.REPEATS,
+            cost.median,
+            cost.most,
+            notes={'least_us': cost.least},
+        )
+        for cost in costs
+    ]
+
+
 EXPERIMENTS: dict[str, Callable[[], Awaitable[list[Finding]]]] = {
     'replica_share': replica_share,
     'failover_gap': failover_gap,
     'failover_rules': failover_rules,
+    'peer_messages': peer_messages,
 }
 
 
