Send queued messages between proxies in one write

Cause: each message between proxies took a memory object stream, a lock and a write of its own, answers a lock and a write each, and each of these is a scheduling checkpoint; each frame was received in two calls.

Ruled out: writing from the task that asks: a cancelled write would leave the frame counters of the two ends apart.

Answers wait for room rather than being dropped. Received bytes are cut into frames without a wait while they hold one.

--- a/src/tidegrade/peers/_frames.py
+++ b/src/tidegrade/peers/_frames.py
@@ -7,11 +7,11 @@
 connection.
 """
 
+from collections.abc import Iterable
 import os
 
 import anyio
 import anyio.abc
-import anyio.streams.buffered
 from cryptography import exceptions
 from cryptography.hazmat.primitives.ciphers import aead
 from cryptography.hazmat.primitives import hashes
@@ -21,6 +21,8 @@
 SALT_SIZE = 32
 KEY_SIZE = 32
 NONCE_SIZE = 12
+#: Size of the length that precedes each sealed frame, in bytes.
+SIZE_BYTES = 4
 #: Largest sealed frame, in bytes.
 MAX_FRAME = 4_000_000
 #: HKDF context: binds the derived keys to this protocol and its version.
@@ -60,69 +62,66 @@
         return self._count.to_bytes(NONCE_SIZE, 'big')
 
 
-class _TimedReceiveStream(anyio.abc.ByteReceiveStream):
-    """A byte stream that records when it last received bytes."""
-
-    def __init__(self, stream: anyio.abc.ByteReceiveStream) -> None:
-        self._stream = stream
-        self.received_at = anyio.current_time()
-
-    async def receive(self, max_bytes: int = 65536) -> bytes:
-        """Return the next bytes and record the time."""
-        chunk = await self._stream.receive(max_bytes)
-        self.received_at = anyio.current_time()
-        return chunk
-
-    async def aclose(self) -> None:
-        """Close the underlying stream."""
-        await self._stream.aclose()
-
-
 class FrameStream:
     """Sends and receives sealed payloads over a byte stream."""
 
     def __init__(
         self,
         stream: anyio.abc.ByteStream,
-        received: _TimedReceiveStream,
-        reader: anyio.streams.buffered.BufferedByteReceiveStream,
+        received: bytearray,
         outgoing: Direction,
         incoming: Direction,
     ) -> None:
         self._stream = stream
         self._received = received
-        self._reader = reader
         self._outgoing = outgoing
         self._incoming = incoming
-        self._lock = anyio.Lock()
+        #: Time at which bytes last arrived, including a partial frame's, in
+        #: seconds on the clock of the event loop.
+        self.received_at = anyio.current_time()
 
-    @property
-    def received_at(self) -> float:
-        """Time at which bytes last arrived, including a partial frame's.
+    async def send(self, payloads: Iterable[bytes]) -> None:
+        """Send payloads, each in a frame of its own, in one write.
 
-        It is in seconds, on the clock of the event loop.
+        Only one task may send, so that frames leave in the order in which
+        they are sealed.
         """
-        return self._received.received_at
-
-    async def send(self, payload: bytes) -> None:
-        """Send one payload."""
-        async with self._lock:
+        parts = []
+        for payload in payloads:
             sealed = self._outgoing.seal(payload)
-            size = len(sealed).to_bytes(4, 'big')
-            await self._stream.send(size + sealed)
+            parts.append(len(sealed).to_bytes(SIZE_BYTES, 'big'))
+            parts.append(sealed)
+        await self._stream.send(b''.join(parts))
 
     async def receive(self) -> bytes:
-        """Receive one payload.
+        """Receive one payload, without a wait if its bytes are here.
 
         Raises :class:`FrameError` for a frame that is too large or fails
         authentication.
         """
-        size = int.from_bytes(await self._reader.receive_exactly(4), 'big')
+        while True:
+            payload = self._cut()
+            if payload is not None:
+                return payload
+            self._received += await self._stream.receive()
+            self.received_at = anyio.current_time()
+
+    def _cut(self) -> bytes | None:
+        """Remove the first frame and open it; None if it is incomplete."""
+        received = self._received
+        if len(received) < SIZE_BYTES:
+            return None
+        size = int.from_bytes(received[:SIZE_BYTES], 'big')
         if size > MAX_FRAME:
             raise FrameError(
                 f'a frame has {size} bytes; the limit is {MAX_FRAME}'
             )
-        return self._incoming.open(await self._reader.receive_exactly(size))
+        end = SIZE_BYTES + size
+        if len(received) < end:
+            return None
+        sealed = bytes(received[SIZE_BYTES:end])
+        del received[:end]
+        return self._incoming.open(sealed)
 
     async def aclose(self) -> None:
         """Close the underlying stream."""
@@ -138,9 +137,11 @@
     """
     own_salt = os.urandom(SALT_SIZE)
     await stream.send(own_salt)
-    received = _TimedReceiveStream(stream)
-    reader = anyio.streams.buffered.BufferedByteReceiveStream(received)
-    other_salt = await reader.receive_exactly(SALT_SIZE)
+    received = bytearray()
+    while len(received) < SALT_SIZE:
+        received += await stream.receive()
+    other_salt = bytes(received[:SALT_SIZE])
+    del received[:SALT_SIZE]
     first, second = own_salt, other_salt
     if not connects:
         first, second = other_salt, own_salt
@@ -155,5 +156,5 @@
     if not connects:
         outgoing, incoming = acceptor, connector
     return FrameStream(
-        stream, received, reader, Direction(outgoing), Direction(incoming)
+        stream, received, Direction(outgoing), Direction(incoming)
     )
--- a/src/tidegrade/peers/_links.py
+++ b/src/tidegrade/peers/_links.py
@@ -12,6 +12,7 @@
 from tidegrade.peers import _frames
 from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _outbox
 
 #: Delay before a link reconnects, in seconds.
 RECONNECT_DELAY_S = 0.2
@@ -26,8 +27,6 @@
 CHECK_INTERVAL_S = 0.3
 #: Time limit for the answer to a probe, in seconds.
 PROBE_TIMEOUT_S = 0.6
-#: Messages queued for a link; once the queue is full, new ones are dropped.
-MAX_QUEUED_MESSAGES = 256
 #: Time that a request waits for a link that is still connecting, in seconds:
 #: many times the two round trips that this takes between failure domains, even
 #: on a loaded VM.
@@ -74,9 +73,8 @@
         self._connection_scope: anyio.CancelScope | None = None
         self._frames: _frames.FrameStream | None = None
         self._probing = False
-        self._send, self._receive = anyio.create_memory_object_stream[
-            messages.PeerMessage
-        ](MAX_QUEUED_MESSAGES)
+        #: New messages are dropped while it is full.
+        self._outbox = _outbox.Outbox()
         self._scope = anyio.CancelScope()
 
     async def run(self) -> None:
@@ -166,9 +164,7 @@
         self._last_used_at = anyio.current_time()
         if not (self.connected or self._connecting):
             return False
-        try:
-            self._send.send_nowait(message)
-        except anyio.WouldBlock:
+        if not self._outbox.put_nowait(message):
             return False
         if self._unanswered_since is None:
             self._unanswered_since = anyio.current_time()
@@ -181,9 +177,7 @@
         self._unanswered_since = None
         for pending in self._pending.values():
             pending.done.set()
-        with contextlib.suppress(anyio.WouldBlock):
-            while True:
-                self._receive.receive_nowait()
+        self._outbox.clear()
 
     async def _run_connection(self) -> None:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -210,9 +204,7 @@
         self, frames: _frames.FrameStream, scope: anyio.CancelScope
     ) -> None:
         with contextlib.suppress(*CONNECTION_ERRORS):
-            while True:
-                message = await self._receive.receive()
-                await frames.send(codec.encode(message))
+            await self._outbox.send_all(frames)
         scope.cancel()
 
     def is_idle(self, now: float) -> bool:
--- a/src/tidegrade/peers/_server.py
+++ b/src/tidegrade/peers/_server.py
@@ -13,6 +13,7 @@
 from tidegrade.peers import _links
 from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _outbox
 
 #: Time limit for the exchange of keys on a new connection, in seconds.
 HANDSHAKE_TIMEOUT_S = 1.0
@@ -59,15 +60,19 @@
             await self._serve_connection(frames)
 
     async def _serve_connection(self, frames: _frames.FrameStream) -> None:
+        outbox = _outbox.Outbox()
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write, outbox, frames, tasks.cancel_scope)
             try:
                 while True:
                     message = codec.decode(await frames.receive())
                     if isinstance(message.body, messages.Probe):
                         probed = messages.Probed()
-                        await self._reply(frames, probed, message.number)
+                        await outbox.put(
+                            messages.PeerMessage(probed, message.number)
+                        )
                     elif message.number:
-                        tasks.start_soon(self._answer, frames, message)
+                        tasks.start_soon(self._answer, outbox, message)
                     else:
                         await self._handler(message.body)
             except _links.CONNECTION_ERRORS:
@@ -77,18 +82,19 @@
                 logs.write(logs.LogEvent.PEER_REFUSED, reason=str(exc))
             tasks.cancel_scope.cancel()
 
-    async def _answer(
-        self, frames: _frames.FrameStream, message: messages.PeerMessage
-    ) -> None:
-        body = await self._handler(message.body)
-        if body is not None:
-            await self._reply(frames, body, message.number)
-
-    async def _reply(
+    async def _write(
         self,
+        outbox: _outbox.Outbox,
         frames: _frames.FrameStream,
-        body: messages.PeerBody,
-        number: int,
+        scope: anyio.CancelScope,
     ) -> None:
         with contextlib.suppress(*_links.CONNECTION_ERRORS):
-            await frames.send(codec.encode(messages.PeerMessage(body, number)))
+            await outbox.send_all(frames)
+        scope.cancel()
+
+    async def _answer(
+        self, outbox: _outbox.Outbox, message: messages.PeerMessage
+    ) -> None:
+        body = await self._handler(message.body)
+        if body is not None:
+            await outbox.put(messages.PeerMessage(body, message.number))
