Answer peers without a task where the handler needs no wait

Cause: each request of another proxy was handled in a task of its own, also those for quota, evidence and configuration, whose handlers never wait; and a message that wants no answer was awaited by the reader, so that a forwarded ROLLBACK held up all messages behind it.

Ruled out: running the first step of each handler without a task: its cancel scopes would belong to the task that reads.

Change: a handler returns the answer, or an awaitable for it; only an awaitable gets a task. Errors raised in handlers are no longer taken for those of the connection.

--- a/bench/tidegrade_bench/_peer_messages.py
+++ b/bench/tidegrade_bench/_peer_messages.py
@@ -90,10 +90,14 @@
         return 1e6 / self.median
 
 
-async def _answer(body: messages.PeerBody) -> messages.PeerBody | None:
+def _answer(body: messages.PeerBody) -> _server.Reply:
     """Answer as a proxy does: a forwarded request waits for its group."""
     if isinstance(body, messages.AskQuota):
         return GRANT
+    return _forwarded()
+
+
+async def _forwarded() -> messages.Forwarded:
     await anyio.lowlevel.checkpoint()
     return FORWARDED
 
--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -247,15 +247,13 @@
                 return asked.answer
         return None
 
-    async def _receive(
-        self, body: messages.PeerBody
-    ) -> messages.PeerBody | None:
+    def _receive(self, body: messages.PeerBody) -> _server.Reply:
         """Process a received message, or leave it to the handler."""
         if isinstance(body, messages.AskDomain):
             return self._gossip.answer_pull(body)
         if isinstance(body, messages.Announcement) and body.pass_on:
             self._gossip.pass_on(body)
-        return await self._handler(body)
+        return self._handler(body)
 
     # Heartbeats -----------------------------------------------------------
 
--- a/src/tidegrade/http_proxy/_proxy.py
+++ b/src/tidegrade/http_proxy/_proxy.py
@@ -37,6 +37,7 @@
 from tidegrade.http_proxy import _tenants
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _server
 from tidegrade import ports
 
 #: Pause between checks whether a drain is finished, in seconds.
@@ -254,9 +255,7 @@
             ),
         )
 
-    async def _handle_message(
-        self, body: messages.PeerBody
-    ) -> messages.PeerBody | None:
+    def _handle_message(self, body: messages.PeerBody) -> _server.Reply:
         if isinstance(body, messages.Heartbeat):
             self._peers.receive_heartbeat(body)
             self._configs.record_peer_version(body.config_version)
@@ -271,8 +270,7 @@
         elif isinstance(body, messages.AskConfig):
             return self._configs.answer(body)
         elif isinstance(body, messages.Forward):
-            answer = await self._service.serve_forwarded(body)
-            return messages.Forwarded(answer)
+            return self._serve_forwarded(body)
         elif isinstance(body, messages.AskQuota):
             return self._quotas.answer(body)
         elif isinstance(body, messages.QuotaBack):
@@ -281,6 +279,12 @@
             self._quotas.take_off(body)
         return None
 
+    async def _serve_forwarded(
+        self, body: messages.Forward
+    ) -> messages.Forwarded:
+        answer = await self._service.serve_forwarded(body)
+        return messages.Forwarded(answer)
+
     def _give_up(self, body: messages.GiveUp) -> messages.GaveUp | None:
         group = self._service.groups.get(body.key)
         if group is not None:
--- a/src/tidegrade/peers/_server.py
+++ b/src/tidegrade/peers/_server.py
@@ -20,15 +20,18 @@
 #: Incoming connections served at once; more wait to be served.
 MAX_INCOMING = 10_000
 
-#: Handles a message of a peer and returns the answer, or None without one.
-Handler = Callable[[messages.PeerBody], Awaitable[messages.PeerBody | None]]
+#: The answer to a message, None without one, or an awaitable for either.
+Reply = messages.PeerBody | None | Awaitable[messages.PeerBody | None]
+#: Handles a message of a peer.
+Handler = Callable[[messages.PeerBody], Reply]
 
 
 class PeerServer:
     """Accepts connections of other proxies and passes on their messages.
 
-    A message with a number is a request: each is handled in a task of its
-    own, so that a slow answer does not delay others.
+    A message with a number is a request. The handler returns the answer, or
+    an awaitable for it; that is awaited in a task of its own, so that a slow
+    answer does not delay others.
     """
 
     def __init__(
@@ -63,25 +66,34 @@
         outbox = _outbox.Outbox()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._write, outbox, frames, tasks.cancel_scope)
-            try:
-                while True:
-                    message = codec.decode(await frames.receive())
-                    if isinstance(message.body, messages.Probe):
-                        probed = messages.Probed()
-                        await outbox.put(
-                            messages.PeerMessage(probed, message.number)
-                        )
-                    elif message.number:
-                        tasks.start_soon(self._answer, outbox, message)
-                    else:
-                        await self._handler(message.body)
-            except _links.CONNECTION_ERRORS:
-                pass
-            except (_frames.FrameError, codec.Malformed) as exc:
-                # Caught inside the task group, which would wrap the exception.
-                logs.write(logs.LogEvent.PEER_REFUSED, reason=str(exc))
+            while True:
+                message = await self._receive(frames)
+                if message is None:
+                    break
+                if isinstance(message.body, messages.Probe):
+                    reply: Reply = messages.Probed()
+                else:
+                    reply = self._handler(message.body)
+                if isinstance(reply, Awaitable):
+                    tasks.start_soon(
+                        self._answer_later, outbox, reply, message.number
+                    )
+                else:
+                    await self._answer(outbox, reply, message.number)
             tasks.cancel_scope.cancel()
 
+    async def _receive(
+        self, frames: _frames.FrameStream
+    ) -> messages.PeerMessage | None:
+        """Return the next message; None at the end of the connection."""
+        try:
+            return codec.decode(await frames.receive())
+        except _links.CONNECTION_ERRORS:
+            return None
+        except (_frames.FrameError, codec.Malformed) as exc:
+            logs.write(logs.LogEvent.PEER_REFUSED, reason=str(exc))
+            return None
+
     async def _write(
         self,
         outbox: _outbox.Outbox,
@@ -92,9 +104,20 @@
             await outbox.send_all(frames)
         scope.cancel()
 
+    async def _answer_later(
+        self,
+        outbox: _outbox.Outbox,
+        reply: Awaitable[messages.PeerBody | None],
+        number: int,
+    ) -> None:
+        await self._answer(outbox, await reply, number)
+
     async def _answer(
-        self, outbox: _outbox.Outbox, message: messages.PeerMessage
+        self,
+        outbox: _outbox.Outbox,
+        body: messages.PeerBody | None,
+        number: int,
     ) -> None:
-        body = await self._handler(message.body)
-        if body is not None:
-            await outbox.put(messages.PeerMessage(body, message.number))
+        """Queue an answer; a message without a number wants none."""
+        if body is not None and number:
+            await outbox.put(messages.PeerMessage(body, number))
--- a/src/tidegrade/session_proxy/_peer_service.py
+++ b/src/tidegrade/session_proxy/_peer_service.py
@@ -12,6 +12,7 @@
 from tidegrade.daemon import _quotas
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _server
 from tidegrade import ports
 from tidegrade.session_proxy import _endpoint_list
 from tidegrade.session_proxy import _platform_watch
@@ -50,12 +51,13 @@
         #: Number of forwarded requests that are being served.
         self.in_flight = 0
 
-    async def handle(
-        self, body: messages.PeerBody
-    ) -> messages.PeerBody | None:
-        """Handle a message and return its answer; None if it has none."""
+    def handle(self, body: messages.PeerBody) -> _server.Reply:
+        """Handle a message and return its answer; None if it has none.
+
+        Only the answer to a forwarded request has to be awaited.
+        """
         if isinstance(body, messages.Forward):
-            return await self._serve(body)
+            return self._serve(body)
         return self._dispatch(body)
 
     def _dispatch(self, body: messages.PeerBody) -> messages.PeerBody | None:
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -22,6 +22,7 @@
 from tidegrade.daemon import _roster
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
+from tidegrade.peers import _server
 from tidegrade import ports
 from tidegrade.session_proxy import _command_records
 from tidegrade.session_proxy import _config_fetch
@@ -493,7 +494,5 @@
             ),
         )
 
-    async def _handle_peer_message(
-        self, body: messages.PeerBody
-    ) -> messages.PeerBody | None:
-        return await self._peer_service.handle(body)
+    def _handle_peer_message(self, body: messages.PeerBody) -> _server.Reply:
+        return self._peer_service.handle(body)
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -86,3 +86,50 @@
         tasks.cancel_scope.cancel()
     assert result.answer is not None
     assert result.answer.document == document
+
+
+async def test_a_slow_answer_delays_no_other_message(free_port):
+    """Guards against a connection that is blocked by one handler.
+
+    That holds for a request and for a message that wants no answer.
+    """
+    released = anyio.Event()
+    answer = messages.Forwarded(core.Answer(core.Outcome.DONE))
+    grant = messages.QuotaGrant(core.Grant(True, 0.0))
+    request = core.Request(0, 't', core.Kind.ROLLBACK, 1.0)
+    forward = messages.Forward(messages.GroupKey('s', 'g'), request)
+
+    async def wait_for_release() -> messages.Forwarded:
+        await released.wait()
+        return answer
+
+    def handle(body: messages.PeerBody) -> _server.Reply:
+        return (
+            grant
+            if isinstance(body, messages.AskQuota)
+            else wait_for_release()
+        )
+
+    address = _links.Address('127.0.0.1', free_port)
+    server = _server.PeerServer(address, KEY, handle)
+    links = _links.Links(KEY, _links.Address('127.0.0.1', 1))
+    results = []
+
+    async def ask_slowly() -> None:
+        results.append((await links.ask(address, forward, 10)).answer)
+
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(server.serve)
+        await tasks.start(links.run)
+        tasks.start_soon(ask_slowly)
+        quota = messages.AskQuota('t', 1.0, 1.0, 1, 0.0)
+        assert (await links.ask(address, quota, 5)).answer == grant
+        assert links.post(address, forward)
+        assert (await links.ask(address, quota, 5)).answer == grant
+        assert results == []
+        released.set()
+        with anyio.fail_after(5):
+            while not results:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert results == [answer]
