Wake the sender of peer messages by a future

Cause: each time a connection has nothing to send, an event of anyio was made and waited for, 3 us of processor time; a future takes 2.

Change: the outbox waits for a future of the event loop.

--- a/src/tidegrade/peers/_outbox.py
+++ b/src/tidegrade/peers/_outbox.py
@@ -1,5 +1,6 @@
 """The bounded queue of messages to be sent on one connection."""
 
+import asyncio
 import collections
 
 import anyio
@@ -25,7 +26,7 @@
         self._queued: collections.deque[messages.PeerMessage] = (
             collections.deque()
         )
-        self._filled: anyio.Event | None = None
+        self._filled: asyncio.Future[None] | None = None
         self._has_room: anyio.Event | None = None
 
     def put_nowait(self, message: messages.PeerMessage) -> bool:
@@ -33,8 +34,8 @@
         if len(self._queued) >= MAX_QUEUED_MESSAGES:
             return False
         self._queued.append(message)
-        if self._filled is not None:
-            self._filled.set()
+        if self._filled is not None and not self._filled.done():
+            self._filled.set_result(None)
         return True
 
     async def put(self, message: messages.PeerMessage) -> None:
@@ -52,9 +53,8 @@
         """Send messages as they are queued, until the connection fails."""
         while True:
             if not self._queued:
-                self._filled = anyio.Event()
-                await self._filled.wait()
-                self._filled = None
+                self._filled = asyncio.get_running_loop().create_future()
+                await self._filled
             await frames.send(self._take())
 
     def _take(self) -> list[bytes]:
