--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -7,7 +7,9 @@
 import tidegrade_edge as edge
 
 from tidegrade import core
+from tidegrade.peers import _frames
 from tidegrade.peers import _links
+from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
 from tidegrade.peers import _outbox
 from tidegrade.peers import _server
@@ -249,3 +251,48 @@
         await anyio.wait_all_tasks_blocked()
         tasks.cancel_scope.cancel()
     assert [message.number for message in outbox._queued] == [1, 2]
+
+
+async def test_a_peer_that_reads_no_answers_delays_no_other(free_port):
+    """Guards against dropped answers and against a server that is blocked.
+
+    The answers exceed what the sockets and the queue hold, so that the server
+    stops reading this connection until its peer reads again.
+    """
+    count = 2 * _outbox.MAX_QUEUED_MESSAGES
+    # Cap'n Proto packs zeros, but not random bytes.
+    content = random.Random(1).randbytes(60_000)
+    row = messages.RowNews(messages.GroupKey('s', 'g'), content)
+    handled = 0
+
+    def answer(body: messages.PeerBody) -> messages.PeerBody:
+        nonlocal handled
+        if isinstance(body, messages.AskQuota):
+            return messages.QuotaGrant(core.Grant(True, 0.0))
+        handled += 1
+        return row
+
+    address = _links.Address('127.0.0.1', free_port)
+    server = _server.PeerServer(address, KEY, answer)
+    links = _links.Links(KEY, _links.Address('127.0.0.1', 1))
+    request = messages.AskEndpoints(1)
+    requests = [
+        codec.encode(messages.PeerMessage(request, number))
+        for number in range(1, count + 1)
+    ]
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(server.serve)
+        await tasks.start(links.run)
+        async with await anyio.connect_tcp('127.0.0.1', free_port) as stream:
+            frames = await _frames.open_frames(stream, KEY, connects=True)
+            await frames.send(requests)
+            quota = messages.AskQuota('t', 1.0, 1.0, 1, 0.0)
+            assert (await links.ask(address, quota, 5)).answer is not None
+            assert 0 < handled < count
+            numbers = []
+            with anyio.fail_after(10):
+                while len(numbers) < count:
+                    message = codec.decode(await frames.receive())
+                    numbers.append(message.number)
+        tasks.cancel_scope.cancel()
+    assert numbers == list(range(1, count + 1))
