Measure the processor time of requests, idle proxies and starts

Cause: part 5 of docs/design/uneven-load.md asks for each step to be measured before and after; no benchmark measures a proxy's processor time.

Ruled out: /proc/PID/stat, which advances in steps of 10 ms; the scheduler's account of each thread is exact.

Change: `make costs [ONLY=request|idle|startup]`. Requests and idle proxies are measured on the stand-in of the users' platform with whole processes, starts up to the reading of the settings.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CODE := src platform standins bench soak tests deploy
 export PYTHONPATH := src:platform:standins:bench:soak:tests
 
-.PHONY: test lint types demo up bench pages slopes soak process-soak format
+.PHONY: test lint types demo up bench costs pages slopes soak process-soak format
 
 test: lint types
 	$(BIN)/python -m pytest
@@ -45,6 +45,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m tidegrade_bench bench --only '$(ONLY)'
 
+costs: $(STAMP)
+	$(BIN)/python -m tidegrade_bench costs --only '$(ONLY)'
+
 pages: $(STAMP)
 	$(BIN)/python -m tidegrade_bench pages
 
--- a/bench/tidegrade_bench/__main__.py
+++ b/bench/tidegrade_bench/__main__.py
@@ -6,6 +6,7 @@
 import anyio
 import typer
 
+from tidegrade_bench import _costs
 from tidegrade_bench import _demo
 from tidegrade_bench import _experiments
 from tidegrade_bench import _pages
@@ -47,6 +48,14 @@
     anyio.run(_experiments.run, only)
 
 
+@app.command()
+def costs(
+    only: Annotated[str, typer.Option(help='One cost.')] = '',
+) -> None:
+    """Measure the processor time of requests, idle proxies and starts."""
+    anyio.run(_costs.run, only)
+
+
 @app.command()
 def pages() -> None:
     """Write the pages that are made from the program."""
--- /dev/null
+++ b/bench/tidegrade_bench/_costs.py
@@ -0,0 +1,179 @@
+"""Processor time of a proxy: for a request, while idle, and at its start."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+import os
+import pathlib
+import resource
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+import anyio
+import attrs
+import tidegrade_edge as edge
+
+ROOT = pathlib.Path(__file__).parents[2]
+#: Repetitions of each measurement, after one that is not counted.
+REPEATS = 5
+#: Callers at a time, and statements of each caller in one repetition.
+CALLERS = 4
+STATEMENTS = 100
+#: Time for which an idle proxy is observed in one repetition, in seconds.
+IDLE_S = 3.0
+#: Time after which a proxy that has just started is idle, in seconds.
+SETTLE_S = 3.0
+#: Number of starts that are measured.
+STARTS = 15
+
+
+@attrs.frozen
+class Cost:
+    """Processor time of one kind of work, with all repetitions."""
+
+    name: str
+    unit: str
+    values: list[float]
+
+    @property
+    def median(self) -> float:
+        """The median of the repetitions."""
+        return statistics.median(self.values)
+
+
+def processor_time(pid: int) -> float:
+    """Return the processor time of all threads of a process, in seconds.
+
+    The scheduler's own account is exact to a nanosecond, where the times in
+    ``/proc/PID/stat`` advance in steps of 10 ms.
+    """
+    tasks = pathlib.Path(f'/proc/{pid}/task').iterdir()
+    spent = ((task / 'schedstat').read_text().split()[0] for task in tasks)
+    return sum(map(int, spent)) / 1e9
+
+
+async def _idle_share(pid: int) -> float:
+    began, before = time.monotonic(), processor_time(pid)
+    await anyio.sleep(IDLE_S)
+    return (processor_time(pid) - before) / (time.monotonic() - began)
+
+
+async def _converse(client: edge.Client) -> None:
+    for number in range(STATEMENTS // 2):
+        written = await client.ask(f'WRITE x {number}')
+        read = await client.ask('READ x')
+        assert not written.error and not read.error
+
+
+async def _with_site(
+    proxies: int, measure: Callable[[edge.Site], Awaitable[list[float]]]
+) -> list[float]:
+    with tempfile.TemporaryDirectory() as folder:
+        cfg = edge.SiteSettings(proxies=proxies)
+        site = edge.Site(pathlib.Path(folder), cfg)
+        async with anyio.create_task_group() as tasks:
+            try:
+                await site.start(tasks)
+                await anyio.sleep(SETTLE_S)
+                return await measure(site)
+            finally:
+                site.stop()
+                tasks.cancel_scope.cancel()
+    raise AssertionError
+
+
+async def _requests(site: edge.Site) -> list[float]:
+    pid = site.proxies[0].process.pid
+    idle = await _idle_share(pid)
+    clients = [await site.client(name=f'c{i}-') for i in range(CALLERS)]
+    values = []
+    for _ in range(REPEATS + 1):
+        began, before = time.monotonic(), processor_time(pid)
+        async with anyio.create_task_group() as callers:
+            for client in clients:
+                callers.start_soon(_converse, client)
+        took = time.monotonic() - began
+        spent = processor_time(pid) - before - idle * took
+        values.append(spent * 1e3 / (CALLERS * STATEMENTS))
+    return values[1:]
+
+
+async def request_cost() -> list[Cost]:
+    """Measure statements of four callers at the only proxy of a site."""
+    values = await _with_site(1, _requests)
+    return [Cost('statement', 'ms', values)]
+
+
+async def _idle(site: edge.Site) -> list[float]:
+    pids = [proxy.process.pid for proxy in site.proxies]
+    values = []
+    for _ in range(REPEATS):
+        shares = [0.0] * len(pids)
+
+        async def observe(number: int, into: list[float] = shares) -> None:
+            into[number] = await _idle_share(pids[number])
+
+        async with anyio.create_task_group() as observers:
+            for number in range(len(pids)):
+                observers.start_soon(observe, number)
+        values.append(100 * statistics.mean(shares))
+    return values
+
+
+async def idle_cost() -> list[Cost]:
+    """Measure proxies without callers: one alone, and three together."""
+    return [
+        Cost(f'idle, proxies: {count}', '% of a core', values)
+        for count in (1, 3)
+        if (values := await _with_site(count, _idle))
+    ]
+
+
+def _start(path: pathlib.Path) -> float:
+    """Return the processor time until a process ends for its settings."""
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    subprocess.run(
+        [sys.executable, str(ROOT / 'deploy' / 'tidegrade.py')],
+        env={**os.environ, 'TIDEGRADE_SETTINGS': str(path)},
+        stderr=subprocess.DEVNULL,
+        check=False,
+    )
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return (
+        after.ru_utime - before.ru_utime + after.ru_stime - before.ru_stime
+    ) * 1e3
+
+
+async def startup_cost() -> list[Cost]:
+    """Measure a start up to the reading of the settings, which are invalid."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'none.json'
+        values = [_start(path) for _ in range(STARTS + 1)][1:]
+    return [Cost('start', 'ms', values)]
+
+
+COSTS: dict[str, Callable[[], Awaitable[list[Cost]]]] = {
+    'request': request_cost,
+    'idle': idle_cost,
+    'startup': startup_cost,
+}
+
+
+async def run(only: str) -> None:
+    """Measure the costs and print a JSON line for each."""
+    for name, measure in COSTS.items():
+        if only not in ('', name):
+            continue
+        for cost in await measure():
+            shown = {
+                'cost': cost.name,
+                'unit': cost.unit,
+                'median': round(cost.median, 3),
+                'least': round(min(cost.values), 3),
+                'most': round(max(cost.values), 3),
+                'n': len(cost.values),
+            }
+            print(json.dumps(shown))
