--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,9 +1,11 @@
 """The start of the program, before its libraries are imported."""
 
 import json
+import os
 import pathlib
 import subprocess
 import sys
+import tomllib
 
 START = pathlib.Path(__file__).parents[2] / 'deploy' / 'tidegrade.py'
 #: Script that runs the program up to its first import of the product.
@@ -68,3 +70,56 @@
     command = [sys.executable, '-S', '-c', LOADED_BEFORE, str(START)]
     done = subprocess.run(command, timeout=60, capture_output=True)
     assert json.loads(done.stdout) == []
+
+
+def _build_in(folder: pathlib.Path) -> None:
+    """Run the build command of deploy/system.toml on a copy of a checkout."""
+    system = tomllib.loads((START.parent / 'system.toml').read_text())
+    (folder / 'bin').mkdir()
+    (folder / 'bin' / 'python3').symlink_to(sys.executable)
+    # The libraries are newer than the list, so that none is installed.
+    (folder / 'deploy').mkdir()
+    (folder / 'deploy' / 'requirements.txt').touch()
+    os.utime(folder / 'deploy' / 'requirements.txt', (1, 1))
+    (folder / 'target' / 'deps').mkdir(parents=True)
+    path = f'{folder / "bin"}:{os.environ["PATH"]}'
+    subprocess.run(
+        ['sh', '-c', system['build']],
+        cwd=folder,
+        env={**os.environ, 'PATH': path},
+        timeout=60,
+        check=True,
+    )
+
+
+def _printed_by(folder: pathlib.Path, module: str) -> str:
+    done = subprocess.run(
+        [sys.executable, '-S', '-c', f'import {module}'],
+        cwd=folder,
+        env={'PYTHONPATH': str(folder / 'src')},
+        timeout=60,
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    return done.stdout.strip()
+
+
+def test_the_build_compiles_modules_and_no_start_runs_old_bytecode(tmp_path):
+    """Bytecode of an older source, or none at all, must not be used.
+
+    Without bytecode each start compiles every module. With bytecode that is
+    checked by time and size, a source that was replaced by one of the same
+    length with the same file time would not take effect.
+    """
+    source = tmp_path / 'src' / 'module.py'
+    (tmp_path / 'platform').mkdir()
+    source.parent.mkdir()
+    source.write_text('print(1)\n')
+    os.utime(source, (1000, 1000))
+    _build_in(tmp_path)
+    assert len(list(source.parent.glob('__pycache__/module.*.pyc'))) == 1
+    assert _printed_by(tmp_path, 'module') == '1'
+    source.write_text('print(2)\n')
+    os.utime(source, (1000, 1000))
+    assert _printed_by(tmp_path, 'module') == '2'
