Import the program without garbage collections

Cause: the imports create some 100,000 objects that are kept, and the collector visits them again and again, at the start, in each full collection of the running program and at its end.

Ruled out: a higher threshold, which the collections at the end don't follow.

Change: deploy/tidegrade.py disables the collector for the imports, then exempts the imported objects from it and enables it.

--- a/deploy/tidegrade.py
+++ b/deploy/tidegrade.py
@@ -13,6 +13,12 @@
 
 _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
 
+import gc  # noqa: E402
+
+# Nearly all that the imports create is kept, so a collection frees next to
+# nothing; without collections the imports take 0.04 s less of 0.28 s.
+gc.disable()
+
 import pathlib  # noqa: E402
 import sys  # noqa: E402
 
@@ -21,5 +27,9 @@
 
 from tidegrade_platform import __main__  # noqa: E402
 
+# Collections while the program runs need not visit what was imported.
+gc.freeze()
+gc.enable()
+
 if __name__ == '__main__':
     sys.exit(__main__.main())
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -58,6 +58,24 @@
 """
 
 
+#: Script that prints whether the garbage collector is enabled as the program
+#: is imported and afterwards, and whether its modules are exempt from it.
+LOADED = """
+import gc, json, runpy, sys
+
+during = []
+
+class Finder:
+    def find_spec(self, name, path, target=None):
+        if name == 'tidegrade_platform':
+            during.append(gc.isenabled())
+
+sys.meta_path.insert(0, Finder())
+runpy.run_path(sys.argv[1])
+print(json.dumps([*during, gc.isenabled(), gc.get_freeze_count() > 10000]))
+"""
+
+
 def test_nothing_is_loaded_before_a_reload_is_ignored():
     """SIGHUP, which requests a reload, ends a process that does not ignore it.
 
@@ -123,3 +141,15 @@
     source.write_text('print(2)\n')
     os.utime(source, (1000, 1000))
     assert _printed_by(tmp_path, 'module') == '2'
+
+
+def test_the_garbage_collector_runs_once_the_program_is_loaded():
+    """The start disables it; left so, cycles would fill the memory."""
+    done = subprocess.run(
+        [sys.executable, '-c', LOADED, str(START)],
+        timeout=60,
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert json.loads(done.stdout) == [False, True, True]
