Format log lines without a new encoder, time text and stack search for each

Cause: for every line the logging library searches the stack for the caller, which no line shows; the JSON formatter creates an encoder, formats the whole time and compares each attribute of the record with its list of reserved names.

Ruled out: another encoder (orjson), which escapes other characters and refuses lone surrogates.

Change: a subclass of python-json-logger's formatter keeps one encoder and the text of the current second, and takes the fields of an event from one attribute. A property test compares its lines with those of the base class.

--- a/bench/tidegrade_bench/_costs.py
+++ b/bench/tidegrade_bench/_costs.py
@@ -16,6 +16,12 @@
 import attrs
 import tidegrade_edge as edge
 
+from tidegrade.adapters import _metrics
+from tidegrade import core
+from tidegrade import logs
+from tidegrade.session_proxy import _command_records
+from tidegrade import sessions
+
 ROOT = pathlib.Path(__file__).parents[2]
 #: Repetitions of each measurement, after one that is not counted.
 REPEATS = 5
@@ -26,6 +32,9 @@
 IDLE_S = 3.0
 #: Time after which a proxy that has just started is idle, in seconds.
 SETTLE_S = 3.0
+#: Commands that are recorded in one repetition: fewer than the log writes at
+#: once within its limit.
+RECORDED = 390
 #: Number of starts that are measured.
 STARTS = 15
 
@@ -101,10 +110,50 @@
     return values[1:]
 
 
+def _command_record() -> sessions.CommandRecord:
+    """Return the record of a read that a replica served."""
+    trace = core.Trace(2, 1, 0, 'i-zone-b', 144, 0.8, '', 2, 0.1)
+    answer = core.Answer(
+        core.Outcome.DONE,
+        age=0.02,
+        endpoint='i-zone-b',
+        from_replica=True,
+        trace=trace,
+    )
+    return sessions.CommandRecord(
+        'db-own',
+        'u-1a2b3c',
+        'tenant-7',
+        sessions.Run('c1-144', 'READ x', writes=False),
+        sessions.Reply(answer, sessions.SessionState.IDLE),
+        0.0123,
+    )
+
+
+def _records() -> list[float]:
+    recorder = _command_records.CommandRecorder(_metrics.Metrics())
+    record = _command_record()
+    values = []
+    with pathlib.Path(os.devnull).open('w', encoding='utf-8') as sink:
+        logs.configure('front-1.1a2b3c', sink)
+        for _ in range(REPEATS + 1):
+            # The limit of log lines is full again.
+            time.sleep(2.0)
+            began = time.process_time()
+            for _ in range(RECORDED):
+                recorder.record_command(record)
+            spent = time.process_time() - began
+            values.append(spent * 1e6 / RECORDED)
+    return values[1:]
+
+
 async def request_cost() -> list[Cost]:
-    """Measure statements of four callers at the only proxy of a site."""
+    """Measure statements at the only proxy of a site, and their records."""
     values = await _with_site(1, _requests)
-    return [Cost('statement', 'ms', values)]
+    return [
+        Cost('statement', 'ms', values),
+        Cost('log line and metrics of a command', 'us', _records()),
+    ]
 
 
 async def _idle(site: edge.Site) -> list[float]:
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -5,8 +5,7 @@
 import sys
 import typing
 
-from pythonjsonlogger import json as jsonlogger
-
+from tidegrade.logs import _format
 from tidegrade.logs import _stream
 
 _LOGGER = logging.getLogger('tidegrade')
@@ -215,16 +214,7 @@
 def configure(proxy_id: str, stream: typing.TextIO = sys.stderr) -> None:
     """Send the logs of this process to a stream as JSON lines."""
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        jsonlogger.JsonFormatter(
-            ['asctime', 'levelname', 'message'],
-            rename_fields={
-                'asctime': 'time',
-                'levelname': 'level',
-            },
-            static_fields={'proxy': proxy_id},
-        )
-    )
+    handler.setFormatter(_format.EventFormatter(proxy_id))
     _LOGGER.handlers[:] = [handler]
     _LOGGER.setLevel(logging.INFO)
     _LOGGER.propagate = False
@@ -248,6 +238,12 @@
 
 def write(event: LogEvent, **fields: object) -> None:
     """Log an event; the fields must not hold secrets."""
-    _LOGGER.log(
-        event.level, event.meaning, extra={'event': event.number, **fields}
+    if not _LOGGER.isEnabledFor(event.level):
+        return
+    # A record made here has no place in the source, which `Logger.log` would
+    # search the stack for and no line shows.
+    record = logging.LogRecord(
+        _LOGGER.name, event.level, '', 0, event.meaning, None, None
     )
+    record.__dict__[_format.FIELDS] = {'event': event.number, **fields}
+    _LOGGER.handle(record)
