Update metrics of a command without checking and encoding labels each time

Cause: a collector of aioprometheus checks all label names and encodes them as JSON, twice for a counter, at each of the three or four updates of a command.

Ruled out: the collectors' own store, which is private.

Change: counters are counted by tuples of label values and taken over when the page is rendered; histograms keep the series that `get_value` returns. The page is the same.

--- a/src/tidegrade/adapters/_metrics.py
+++ b/src/tidegrade/adapters/_metrics.py
@@ -1,7 +1,10 @@
 """Metrics in the Prometheus text format, provided by aioprometheus."""
 
+import collections
+
 import aioprometheus
 from aioprometheus import formats
+from aioprometheus import histogram
 
 #: Upper bounds of the buckets of the latency histograms, in seconds.
 LATENCY_BUCKETS_S = [
@@ -20,6 +23,57 @@
 ]
 
 
+class Tally:
+    """Counts by label values, which a counter takes over when rendered.
+
+    The collector checks and encodes all labels at each update, so this is
+    done once for each combination and page.
+    """
+
+    def __init__(
+        self, counter: aioprometheus.Counter, names: tuple[str, ...]
+    ) -> None:
+        self._counter = counter
+        self._names = names
+        self._counts: collections.Counter[tuple[str, ...]] = (
+            collections.Counter()
+        )
+
+    def inc(self, *values: str) -> None:
+        """Add one to the series with these label values."""
+        self._counts[values] += 1
+
+    def hand_over(self) -> None:
+        """Add the counts since the last call to the counter."""
+        counts, self._counts = self._counts, collections.Counter()
+        for values, count in counts.items():
+            labels = dict(zip(self._names, values, strict=True))
+            self._counter.add(labels, count)
+
+
+class Series:
+    """Observations by label values, with each series looked up once."""
+
+    def __init__(
+        self, collector: aioprometheus.Histogram, names: tuple[str, ...]
+    ) -> None:
+        self._collector = collector
+        self._names = names
+        self._series: dict[tuple[str, ...], histogram.Histogram] = {}
+
+    def observe(self, took: float, *values: str) -> None:
+        """Add an observation to the series with these label values."""
+        known = self._series.get(values)
+        if known is not None:
+            known.observe(took)
+            return
+        labels = dict(zip(self._names, values, strict=True))
+        self._collector.observe(labels, took)
+        series = self._collector.get_value(labels)
+        assert isinstance(series, histogram.Histogram)
+        self._series[values] = series
+
+
 class Metrics:
     """The metrics of the proxy; a process has one instance."""
 
@@ -60,12 +114,20 @@
         self.requests_in_flight = self._gauge(
             'tidegrade_requests_in_flight', 'Requests not yet answered.'
         )
+        self.request_tally = Tally(
+            self.requests, ('site', 'tenant', 'kind', 'outcome', 'code')
+        )
+        self.read_tally = Tally(self.reads, ('site', 'role'))
+        self.tenant_series = Series(self.tenant_latency, ('site', 'tenant'))
+        self.class_series = Series(self.class_latency, ('class',))
 
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the metrics page and its HTTP headers.
 
         ``accept`` is the value of the request's ``Accept`` header.
         """
+        self.request_tally.hand_over()
+        self.read_tally.hand_over()
         content, headers = aioprometheus.render(
             self.registry, [accept] if accept else []
         )
--- a/src/tidegrade/session_proxy/_command_records.py
+++ b/src/tidegrade/session_proxy/_command_records.py
@@ -59,21 +59,18 @@
     ) -> None:
         kind = type(record.command).__name__.lower()
         tenant = self._label_of(record)
-        labels = {
-            'site': 'platform',
-            'tenant': tenant,
-            'kind': kind,
-            'outcome': answer.outcome.value,
-            'code': answer.code.value if answer.code else '',
-        }
-        self._metrics.requests.inc(labels)
-        self._metrics.class_latency.observe({'class': kind}, record.took)
-        self._metrics.tenant_latency.observe(
-            {'site': 'platform', 'tenant': tenant}, record.took
+        self._metrics.request_tally.inc(
+            'platform',
+            tenant,
+            kind,
+            answer.outcome.value,
+            answer.code.value if answer.code else '',
         )
+        self._metrics.class_series.observe(record.took, kind)
+        self._metrics.tenant_series.observe(record.took, 'platform', tenant)
         if answer.endpoint:
             role = 'replica' if answer.from_replica else 'primary'
-            self._metrics.reads.inc({'site': 'platform', 'role': role})
+            self._metrics.read_tally.inc('platform', role)
 
     def _log(
         self, record: sessions.CommandRecord, answer: core.Answer
--- a/tests/session_proxy/test_command_records.py
+++ b/tests/session_proxy/test_command_records.py
@@ -56,3 +56,28 @@
         _command_records.MAX_TENANT_LABELS + 1
     )
     assert 'tenant="others"' in shown
+
+
+def test_a_page_counts_each_command_once(metrics):
+    """Counts that reach the collectors late must be neither lost nor doubled.
+
+    The counts of a page are added to those of the page before.
+    """
+    recorder = _command_records.CommandRecorder(metrics)
+    for count in (1, 2):
+        recorder.record_command(record_of('acme'))
+        recorder.record_command(record_of('acme', core.Code.TENANT_LIMIT))
+        lines = page(metrics).splitlines()
+        totals = [
+            float(line.rsplit(' ', 1)[1])
+            for line in lines
+            if line.startswith('tidegrade_requests_total{')
+        ]
+        assert totals == [count, count]
+        observed = [
+            float(line.rsplit(' ', 1)[1])
+            for line in lines
+            if '_latency_seconds_count' in line
+        ]
+        assert observed == [2 * count, 2 * count]
+    assert page(metrics).splitlines() == lines
