Compute the expiry of a permission once for the answers that set it

Cause: each event of a group asks several times whether writes may be acknowledged, and each time the grants were sorted anew; a read with a maximum age looked through all samples of the primary's position back to that age.

Ruled out: a cache in GroupState, which would have to know every change.

Change: Permission keeps the time until an answer or a new term changes the grants (Grant is frozen); the sample is found by bisection. Property tests compare both with what they replace. The benchmark gets the decisions on a read, without a network.

--- a/bench/tidegrade_bench/_costs.py
+++ b/bench/tidegrade_bench/_costs.py
@@ -21,6 +21,7 @@
 from tidegrade import logs
 from tidegrade.session_proxy import _command_records
 from tidegrade import sessions
+from tidegrade_bench import _slopes
 
 ROOT = pathlib.Path(__file__).parents[2]
 #: Repetitions of each measurement, after one that is not counted.
@@ -147,11 +148,26 @@
     return values[1:]
 
 
+def _decisions() -> list[float]:
+    machine = _slopes.Idle(0)
+    machine.second()
+    values = []
+    for _ in range(REPEATS + 1):
+        began = time.process_time()
+        for _ in range(RECORDED):
+            machine.read()
+        spent = time.process_time() - began
+        values.append(spent * 1e6 / RECORDED)
+        machine.second()
+    return values[1:]
+
+
 async def request_cost() -> list[Cost]:
     """Measure statements at the only proxy of a site, and their records."""
     values = await _with_site(1, _requests)
     return [
         Cost('statement', 'ms', values),
+        Cost('decisions on a read', 'us', _decisions()),
         Cost('log line and metrics of a command', 'us', _records()),
     ]
 
--- a/bench/tidegrade_bench/_slopes.py
+++ b/bench/tidegrade_bench/_slopes.py
@@ -92,7 +92,7 @@
     ]
 
 
-class _Idle:
+class Idle:
     """A group machine whose endpoints answer every poll at once."""
 
     def __init__(self, seed: int) -> None:
@@ -104,6 +104,7 @@
         self._machine = core.GroupMachine(cfg, settings, random.Random(seed))
         self._now = 0.0
         self._names: dict[int, str] = {}
+        self._reads = 0
         self._tell(core.Registered(True))
         row = core.GroupRow(1, 'a', frozenset('abc'))
         self._tell(core.RowReceived(row))
@@ -114,6 +115,26 @@
             self._now += 0.02
             self._tell(core.Tick())
 
+    def read(self) -> None:
+        """Serve a read with a maximum age, half a millisecond later."""
+        self._now += 0.0005
+        self._reads += 1
+        self._tell(
+            core.RequestArrived(
+                core.Request(
+                    id=self._reads,
+                    tenant='',
+                    caller='',
+                    kind=core.Kind.READ,
+                    deadline=self._now + 2.0,
+                    place_by=self._now + 1.5,
+                    attempt_limit=0.8,
+                    statements=(core.Statement('READ x'),),
+                    max_age=1.5,
+                )
+            )
+        )
+
     def _tell(self, event: core.Event) -> None:
         events = [event]
         while events:
@@ -132,9 +153,9 @@
     """Measure the decisions that idle groups take, a second of time."""
     points = []
     for count in (1, 4, 16, 64):
-        idle = [_Idle(seed) for seed in range(count)]
+        idle = [Idle(seed) for seed in range(count)]
 
-        def second(machines: list[_Idle] = idle) -> None:
+        def second(machines: list[Idle] = idle) -> None:
             for machine in machines:
                 machine.second()
 
--- a/src/tidegrade/core/_permission.py
+++ b/src/tidegrade/core/_permission.py
@@ -32,7 +32,7 @@
         return len(self.members) // 2 + 1
 
 
-@attrs.define
+@attrs.frozen
 class Grant:
     """The newest poll answer of a member.
 
@@ -62,6 +62,9 @@
         self._released_below = 0
         self._released_at = float('inf')
         self._grants: dict[str, Grant] = {}
+        #: What `_granted_until` returns, None if the grants have changed. It
+        #: is read several times for each event of a group.
+        self._known_until: float | None = None
 
     @property
     def term(self) -> int:
@@ -76,6 +79,7 @@
         self._term = term
         self._rules = rules
         self._grants.clear()
+        self._known_until = None
         if term >= self._released_below:
             self._released_at = float('inf')
 
@@ -87,6 +91,7 @@
         if known is not None and sent_at < known.sent_at:
             return
         self._grants[member] = Grant(sent_at, promised)
+        self._known_until = None
 
     def give_up(self, below: int, now: float) -> None:
         """Release the permission for all terms below ``below`` for good."""
@@ -101,6 +106,11 @@
         return self._granted_until()
 
     def _granted_until(self) -> float:
+        if self._known_until is None:
+            self._known_until = self._compute_granted_until()
+        return self._known_until
+
+    def _compute_granted_until(self) -> float:
         sent = sorted(
             (
                 grant.sent_at
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -1,5 +1,6 @@
 """What a proxy knows of an endpoint, and bounds on the age of its data."""
 
+import bisect
 import collections
 
 import attrs
@@ -144,6 +145,10 @@
     at: float
 
 
+def _time_of(sample: Sample) -> float:
+    return sample.at
+
+
 class PositionSamples:
     """Samples of the primary's position over time, on this proxy's clock.
 
@@ -182,12 +187,9 @@
 
     def oldest_since(self, at: float) -> Sample | None:
         """Return the oldest sample taken at ``at`` or later."""
-        found = None
-        for sample in reversed(self._samples):
-            if sample.at < at:
-                break
-            found = sample
-        return found
+        # The samples are in the order of their times.
+        index = bisect.bisect_left(self._samples, at, key=_time_of)
+        return self._samples[index] if index < len(self._samples) else None
 
     def newest_until(self, at: float) -> Sample | None:
         """Return the newest sample taken at ``at`` or earlier."""
--- a/tests/core/test_permission.py
+++ b/tests/core/test_permission.py
@@ -105,3 +105,27 @@
     held.answered('a', 2, 10.5)
     held.answered('b', 2, 10.5)
     assert held.exclusive_until() == 11.5
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(MEMBERS), st.integers(0, 3), st.floats(0, 5))
+        | st.integers(1, 3)
+    )
+)
+def test_an_expiry_that_was_read_before_holds_no_longer(events):
+    """A remembered expiry must follow every answer and every new term.
+
+    Otherwise a proxy would acknowledge writes after a member was fenced.
+    """
+    asked, unasked = permission(), permission()
+    for event in events:
+        for held in (asked, unasked):
+            if isinstance(event, tuple):
+                held.answered(*event)
+            elif event > held.term:
+                rules = _permission.PermissionRules(frozenset(MEMBERS))
+                held.start_term(event, rules)
+        asked.expires_at()
+    assert asked.expires_at() == unasked.expires_at()
+    assert asked.exclusive_until() == unasked.exclusive_until()
--- a/tests/core/test_reads.py
+++ b/tests/core/test_reads.py
@@ -1,9 +1,12 @@
 """Reads and writes through the group machine."""
 
+from hypothesis import given
+from hypothesis import strategies as st
 import machines
 import pytest
 
 from tidegrade import core
+from tidegrade.core import _view
 
 
 def test_a_replica_serves_a_session_it_covers(machine):
@@ -170,3 +173,20 @@
     machine.failing = {'b', 'c'}
     machine.read(1, floor=core.Position(1, 100))
     assert machine.answers[1].code is core.Code.STATEMENT_FAILED
+
+
+@given(
+    times=st.lists(st.floats(0, 10), max_size=20),
+    at=st.floats(0, 10),
+)
+def test_the_oldest_sample_since_a_time_is_found(times, at):
+    """An older sample would let a replica serve data older than allowed."""
+    samples = _view.PositionSamples()
+    kept = []
+    for number, time in enumerate(times):
+        samples.add(time, number)
+        if not kept or time > kept[-1]:
+            kept.append(time)
+    found = samples.oldest_since(at)
+    expected = min((time for time in kept if time >= at), default=None)
+    assert (found and found.at) == expected
