Rank waiting requests only where there is a choice

Cause: each request computed how many connections serve its queue, its rank and its wait although nothing waited before it, and the only head of a queue was ranked twice.

Ruled out: a sorted queue; ranks change with time.

Change: the wait is estimated only behind other requests, and heads are ranked only among several. The order is the same.

--- a/src/tidegrade/core/_dispatch.py
+++ b/src/tidegrade/core/_dispatch.py
@@ -47,9 +47,7 @@
         The request may be answered before this returns.
         """
         ahead = self._ahead_of(pending, now)
-        wait = self._registry.service.wait_for(ahead, self._width(pending))
-        limit = min(pending.req.deadline, pending.req.place_by)
-        late = ahead > 0 and now + wait >= limit
+        late = ahead > 0 and self._is_too_late(pending, ahead, now)
         if late or self.waiting >= self._state.cfg.queue_limit:
             self._registry.refuse(pending, _types.Code.OVERLOADED, ahead=ahead)
             return
@@ -89,12 +87,21 @@
         service = self._registry.service.mean
         return _order.rank_of(pending, service, now)
 
+    def _is_too_late(
+        self, pending: _pending.Pending, ahead: int, now: float
+    ) -> bool:
+        """Return whether a request behind ``ahead`` others would be late."""
+        wait = self._registry.service.wait_for(ahead, self._width(pending))
+        return now + wait >= min(pending.req.deadline, pending.req.place_by)
+
     def _ahead_of(self, pending: _pending.Pending, now: float) -> int:
         """Return how many queued requests are served before a new one."""
+        queue = self._queue_of(pending)
+        if not len(queue):
+            return 0
         own = self._rank(pending, now).across_tenants
         return sum(
-            self._rank(other, now).across_tenants <= own
-            for other in self._queue_of(pending)
+            self._rank(other, now).across_tenants <= own for other in queue
         )
 
     def _width(self, pending: _pending.Pending) -> int:
--- a/src/tidegrade/core/waiting/_queue.py
+++ b/src/tidegrade/core/waiting/_queue.py
@@ -49,11 +49,18 @@
         Among items of equal rank between tenants, the tenant that was served
         longest ago comes first.
         """
+        # A rank is only needed where there is a choice.
         found = [
-            (tenant, min(queue, key=lambda item: rank(item).within_tenant))
+            (
+                tenant,
+                queue[0]
+                if len(queue) == 1
+                else min(queue, key=lambda item: rank(item).within_tenant),
+            )
             for tenant, queue in self._queues.items()
         ]
-        found.sort(key=lambda head: rank(head[1]).across_tenants)
+        if len(found) > 1:
+            found.sort(key=lambda head: rank(head[1]).across_tenants)
         return found
 
     def take(self, tenant: str, item: T) -> None:
