Keep the alive peers and the candidates until the roster changes

Cause: each digest, announcement and check of homes asks for the candidates, two or three times each, and each time all peers were looked through.

Change: Roster keeps both answers until a peer is added, removed, returns, changes its heartbeat or its way (direct or relayed), the list of VMs changes, or the first of them expires, and returns copies.

--- a/bench/tidegrade_bench/_costs.py
+++ b/bench/tidegrade_bench/_costs.py
@@ -18,7 +18,9 @@
 
 from tidegrade.adapters import _metrics
 from tidegrade import core
+from tidegrade.daemon import _roster
 from tidegrade import logs
+from tidegrade.peers import _messages as messages
 from tidegrade.session_proxy import _command_records
 from tidegrade import sessions
 from tidegrade_bench import _slopes
@@ -36,6 +38,8 @@
 #: Commands that are recorded in one repetition: fewer than the log writes at
 #: once within its limit.
 RECORDED = 390
+#: Number of peers of a roster that is queried.
+PEERS = 60
 #: Number of starts that are measured.
 STARTS = 15
 
@@ -188,9 +192,26 @@
     return values
 
 
+def _candidates() -> list[float]:
+    roster = _roster.Roster('own', 1.6, 2.6)
+    for number in range(PEERS):
+        beat = messages.Heartbeat(
+            f'front-{number}.1', 'zone-a', '10.0.0.1', number, 1, False, ()
+        )
+        roster.record_heartbeat(beat, 0.0, 0.0)
+    values = []
+    for _ in range(REPEATS + 1):
+        began = time.process_time()
+        for number in range(RECORDED):
+            roster.alive(number / 1e3)
+            roster.candidates(number / 1e3)
+        values.append((time.process_time() - began) * 1e6 / RECORDED)
+    return values[1:]
+
+
 async def idle_cost() -> list[Cost]:
     """Measure proxies without callers: one alone, and three together."""
-    return [
+    return [Cost(f'candidates of {PEERS} peers', 'us', _candidates())] + [
         Cost(f'idle, proxies: {count}', '% of a core', values)
         for count in (1, 3)
         if (values := await _with_site(count, _idle))
--- a/src/tidegrade/daemon/_roster.py
+++ b/src/tidegrade/daemon/_roster.py
@@ -54,6 +54,32 @@
     since: float
 
 
+@attrs.frozen
+class _Alive:
+    """The peers that are alive from ``since`` until just before ``until``.
+
+    This holds while no peer is added, removed or returns, and while none
+    changes between direct and relayed heartbeats.
+    """
+
+    peers: list[Peer]
+    since: float
+    until: float
+
+
+@attrs.frozen
+class _Candidates:
+    """The candidates from ``since`` until just before ``until``, by domain.
+
+    This holds while the alive peers and the listed proxies stay the same and
+    no heartbeat changes.
+    """
+
+    by_domain: dict[str, set[str]]
+    since: float
+    until: float
+
+
 class Roster:
     """The peers known by heartbeats, and the proxies that the platform lists.
 
@@ -75,6 +101,10 @@
         self._newest_sent_at: dict[str, float] = {}
         self._newest_received_at: dict[str, float] = {}
         self._listed: dict[_links.Address, _ListedVm] = {}
+        #: The last answer of `alive`; None if it may not hold any more.
+        self._last_alive: _Alive | None = None
+        #: The same for `candidates`.
+        self._last_candidates: _Candidates | None = None
 
     # Updates --------------------------------------------------------------
 
@@ -84,11 +114,13 @@
         known = self._listed.get(address)
         if known is None or known.vm != vm:
             self._listed[address] = _ListedVm(vm, now)
+            self._last_candidates = None
         return address
 
     def unlist(self, address: _links.Address) -> None:
         """Remove a listed address."""
         self._listed.pop(address, None)
+        self._last_candidates = None
 
     def record_heartbeat(
         self,
@@ -183,6 +215,7 @@
             # A new run at the same address shows that the former has ended.
             self._remove(self._peers[former])
         self._peers[peer.beat.proxy] = peer
+        self._last_alive = self._last_candidates = None
         self._id_by_address[peer.address] = peer.beat.proxy
         self._index(peer)
         self._record_newest(peer, now)
@@ -190,6 +223,7 @@
     def _remove(self, peer: Peer) -> None:
         proxy = peer.beat.proxy
         del self._peers[proxy]
+        self._last_alive = self._last_candidates = None
         if self._id_by_address.get(peer.address) == proxy:
             del self._id_by_address[peer.address]
         for serving in self._serving.values():
@@ -199,6 +233,7 @@
         self, peer: Peer, beat: messages.Heartbeat, now: float
     ) -> None:
         peer.beat = beat
+        self._last_candidates = None
         revision = beat.revision()
         if revision == peer.revision:
             return
@@ -216,6 +251,8 @@
     def _refresh(
         self, peer: Peer, at: float, relayed: bool, now: float
     ) -> None:
+        if relayed != peer.relayed or self._expiry(peer) <= now:
+            self._last_alive = self._last_candidates = None
         peer.sent_at = at
         peer.relayed = relayed
         self._record_newest(peer, now)
@@ -238,12 +275,27 @@
 
     def alive(self, now: float) -> list[Peer]:
         """Return the peers that are alive."""
+        last = self._last_alive
+        if last is None or not last.since <= now < last.until:
+            last = self._find_alive(now)
+            self._last_alive = last
+        return list(last.peers)
+
+    def _find_alive(self, now: float) -> _Alive:
         direct, relayed = now - self._alive_s, now - self._relayed_s
-        return [
+        found = [
             peer
             for peer in self._peers.values()
             if peer.sent_at >= (relayed if peer.relayed else direct)
         ]
+        until = min(map(self._expiry, found), default=float('inf'))
+        return _Alive(found, now, until)
+
+    def _expiry(self, peer: Peer) -> float:
+        """Return the time after which a peer is not alive."""
+        return peer.sent_at + (
+            self._relayed_s if peer.relayed else self._alive_s
+        )
 
     def serving(self, key: messages.GroupKey, now: float) -> list[Peer]:
         """Return the alive peers that serve a group themselves."""
@@ -327,27 +379,37 @@
         Proxies that were listed recently count, since they may be starting,
         unless another run at their address has sent a heartbeat.
         """
+        last = self._last_candidates
+        if last is None or not last.since <= now < last.until:
+            last = self._find_candidates(now)
+            self._last_candidates = last
+        return {name: set(ids) for name, ids in last.by_domain.items()}
+
+    def _find_candidates(self, now: float) -> _Candidates:
         found: dict[str, set[str]] = {}
-        for peer in self.alive(now):
+        alive = self._find_alive(now)
+        until = alive.until
+        for peer in alive.peers:
             if not peer.beat.draining:
                 found.setdefault(peer.beat.domain, set()).add(peer.beat.proxy)
-        for vm in self._starting(now):
-            found.setdefault(vm.domain, set()).add(vm.id)
-        return found
+        for listed in self._starting(now):
+            found.setdefault(listed.vm.domain, set()).add(listed.vm.id)
+            until = min(until, listed.since + self._alive_s)
+        return _Candidates(found, now, until)
 
     def starting(self, now: float) -> set[str]:
         """Return recently listed proxies without a heartbeat so far."""
-        return {vm.id for vm in self._starting(now)}
+        return {listed.vm.id for listed in self._starting(now)}
 
     def starting_domains(self, now: float) -> list[str]:
         """Return the failure domain of each starting proxy."""
-        return [vm.domain for vm in self._starting(now)]
+        return [listed.vm.domain for listed in self._starting(now)]
 
-    def _starting(self, now: float) -> Iterator[ports.Vm]:
+    def _starting(self, now: float) -> Iterator[_ListedVm]:
         for address, listed in self._listed.items():
             recent = now - listed.since < self._alive_s
             if recent and address not in self._id_by_address:
-                yield listed.vm
+                yield listed
 
     def domains(self) -> frozenset[str]:
         """Return the failure domains of all known or listed proxies."""
