Ask once for a group's peers and opinions in each observation

Cause: every 0.1 s each served group looked through its serving peers four times and built their opinions twice.

Ruled out: longer intervals between observations, which change decisions.

Change: the peers and their opinions are read once and passed on.

--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -300,7 +300,9 @@
             return
         own = self._own_opinion(now)
         self._report_opinion(own, now)
-        self._update_polling(own)
+        peers = self._peers.serving_ids(self.key)
+        opinions = self._peers.opinions(self.key)
+        self._update_polling(peers, opinions)
         cfg = self.machine.cfg
         leaving = (n for n in cfg.endpoints if self.machine.leaving(n))
         self._handle(
@@ -309,8 +311,8 @@
                 config_version=self._config_version,
                 row=self.machine.row,
                 own=own,
-                opinions=self._peers.opinions(self.key),
-                peers=self._peers.serving_ids(self.key),
+                opinions=opinions,
+                peers=peers,
                 leaving=frozenset(leaving),
                 replicas_to_repair=self.machine.replicas_to_repair(now),
                 reachable=self.machine.reachable(),
@@ -319,7 +321,9 @@
             )
         )
 
-    def _update_polling(self, own: core.Opinion) -> None:
+    def _update_polling(
+        self, peers: tuple[str, ...], opinions: tuple[core.Opinion, ...]
+    ) -> None:
         """Start or stop polling the endpoints on behalf of the peers.
 
         If a peer considers the primary down, this proxy probes it as well,
@@ -327,12 +331,11 @@
         """
         if not self._deps.traits.status_is_costly:
             return
-        self._poll_for_peers(self._is_first())
+        self._poll_for_peers(self._is_first_of(peers))
         row = self.machine.row
         if row is None:
             return
-        others = self._peers.opinions(self.key)
-        if any(o.primary_down and o.term == row.term for o in others):
+        if any(o.primary_down and o.term == row.term for o in opinions):
             self._handle(core.EndpointSuspected(row.primary))
 
     def _is_first(self) -> bool:
@@ -341,7 +344,9 @@
         Of the proxies that serve the group, the first does the work that one
         proxy does for all.
         """
-        peers = self._peers.serving_ids(self.key)
+        return self._is_first_of(self._peers.serving_ids(self.key))
+
+    def _is_first_of(self, peers: tuple[str, ...]) -> bool:
         return core.rank(str(self.key), self._deps.proxy_id, peers) == 0
 
     def _report_opinion(self, own: core.Opinion, now: float) -> None:
