--- a/tests/core/test_work_health.py
+++ b/tests/core/test_work_health.py
@@ -5,6 +5,8 @@
 and each read was tried up to 17 times.
 """
 
+import itertools
+
 import machines
 import pytest
 
@@ -140,7 +142,7 @@
             health.record_lost(now)
             sent.append(now)
         now += 0.05
-    gaps = [b - a for a, b in zip(sent, sent[1:], strict=False)]
+    gaps = [b - a for a, b in itertools.pairwise(sent)]
     assert gaps[0] < 0.2
     assert max(gaps) <= _work.MAX_TRIAL_INTERVAL_S + 0.1
     health.record_answer()
