Grant a tenant's urgent operations first

Ruled out: waits of less urgent operations while there is a reserve; their grants are deducted at once, so the urgent ones would find the bucket below 0 and can't wait as long.

Change: AskQuota carries the priority of the route; the owner keeps a moving rate of requests by priority and grants an operation only above a reserve.

--- a/src/tidegrade/core/limits/_bucket.py
+++ b/src/tidegrade/core/limits/_bucket.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from tidegrade.core.limits import _reserve
 from tidegrade import tenants
 
 #: Operations that a new owner may grant at once. The sum over several
@@ -33,13 +34,15 @@
 class GrantCounts:
     """Decisions on a tenant's operations since the last report.
 
-    ``taken_off`` counts the grants of fallback owners that were deducted.
+    ``taken_off`` counts the grants of fallback owners that were deducted,
+    ``reserved`` the refusals that kept a reserve for more urgent operations.
     """
 
     granted: int = 0
     refused: int = 0
     given_back: int = 0
     taken_off: int = 0
+    reserved: int = 0
 
 
 @attrs.define
@@ -61,6 +64,7 @@
     fallback_since: float | None = None
     last_fallback_at: float = float('-inf')
     counts: GrantCounts = attrs.field(factory=GrantCounts)
+    demand: _reserve.Demand = attrs.field(factory=_reserve.Demand)
 
     @property
     def rate(self) -> float:
@@ -108,14 +112,32 @@
             return min(self.part, self.reduced_part) * self.tenant.rate
         return self.rate
 
-    def time_to_next(self, now: float) -> float:
-        """Return the time until one more operation may start, in seconds."""
-        if self.level >= 1:
+    @property
+    def highest_level(self) -> float:
+        """The highest level that the bucket may have."""
+        if self.fallback_since is not None:
+            return min(self.capacity, INITIAL_GRANTS)
+        return self.capacity
+
+    def reserve(self, priority: int) -> float:
+        """Return the operations kept for requests above a priority."""
+        urgent_rate = self.demand.urgent_rate(priority)
+        return _reserve.reserve_for(urgent_rate, self.highest_level)
+
+    def time_to_next(self, now: float, priority: int = 0) -> float:
+        """Return the time until one more operation may start, in seconds.
+
+        The expected requests of more urgent priorities are deducted from what
+        accrues.
+        """
+        missing = 1 + self.reserve(priority) - self.level
+        if missing <= 0:
             return 0.0
         rate = self.current_rate(now)
         if rate <= 0:
             return float('inf')
-        return (1 - self.level) / rate
+        remaining = rate - self.demand.urgent_rate(priority)
+        return missing / max(remaining, rate * _reserve.MIN_REMAINING_PART)
 
 
 def new_bucket(
--- a/src/tidegrade/core/limits/_quota.py
+++ b/src/tidegrade/core/limits/_quota.py
@@ -34,13 +34,15 @@
     ``wait`` is the time in seconds after which a retry would be granted.
     ``part`` is the part of all proxies that the owner sees, and so the part
     of the limit that it grants. ``at`` is the start time that the grant
-    counts for, in seconds on the owner's clock.
+    counts for, in seconds on the owner's clock. ``reserved`` means that the
+    operation was refused to keep a reserve for more urgent ones.
     """
 
     granted: bool
     wait: float
     part: float = 1.0
     at: float = 0.0
+    reserved: bool = False
 
 
 @attrs.frozen
@@ -50,7 +52,7 @@
     ``wait`` is in seconds: the delay before the start, or, for a refusal,
     before a retry. ``owner`` is empty if no owner answered or none was
     asked. The owner granted ``part`` of the limit, for the start time ``at``
-    in seconds on its own clock.
+    in seconds on its own clock. ``reserved`` is as in :class:`Grant`.
     """
 
     granted: bool
@@ -58,6 +60,7 @@
     owner: str = ''
     part: float = 1.0
     at: float = 0.0
+    reserved: bool = False
 
 
 class QuotaOwner:
@@ -84,6 +87,7 @@
         now: float,
         is_fallback: bool = False,
         first_since: float | None = None,
+        priority: int = 0,
     ) -> Grant:
         """Grant an operation that can wait for ``patience`` seconds.
 
@@ -91,16 +95,23 @@
         alive, so that the usual owner may be granting at the same time.
         ``first_since`` is since when this proxy has been the usual owner;
         None if it isn't, or if that isn't known.
+
+        An operation is granted only above a reserve for the requests of more
+        urgent priorities. While there is one, the operation doesn't wait for
+        its start: its grant would be deducted from the reserve at once.
         """
         bucket = self._current_bucket(tenant, part, now, first_since)
         if is_fallback:
             bucket.act_as_fallback(now)
         else:
             bucket.act_as_owner()
-        wait = bucket.time_to_next(now)
-        if wait > patience:
+        bucket.demand.record(priority, now)
+        wait = bucket.time_to_next(now, priority)
+        if wait > (0.0 if bucket.reserve(priority) else patience):
+            reserved = bucket.time_to_next(now) <= patience
             bucket.counts.refused += 1
-            return Grant(False, wait, part)
+            bucket.counts.reserved += reserved
+            return Grant(False, wait, part, reserved=reserved)
         bucket.counts.granted += 1
         bucket.level -= 1
         return Grant(True, wait, part, now + wait)
--- a/src/tidegrade/daemon/_quotas.py
+++ b/src/tidegrade/daemon/_quotas.py
@@ -107,6 +107,7 @@
                 refused=counts.refused,
                 given_back=counts.given_back,
                 taken_off=counts.taken_off,
+                reserved=counts.reserved,
                 level=round(bucket.level, 1),
                 part=round(bucket.part, 2),
                 rate=bucket.tenant.rate,
@@ -116,25 +117,30 @@
     # Operations received by this proxy ------------------------------------
 
     async def admit(
-        self, tenant: tenants.Tenant, patience: float
+        self, tenant: tenants.Tenant, patience: float, priority: int = 0
     ) -> core.Admission:
         """Request a grant for an operation that can wait ``patience`` seconds.
 
-        The owners are tried in turn. If none answers, the operation is
-        refused.
+        Operations of priority 0 are the most urgent. The owners are tried in
+        turn. If none answers, the operation is refused.
         """
         instead_of = ''
         grant: core.Grant | None
         for owner in self._owners_to_ask(tenant.name):
             if owner == self._identity.proxy:
-                grant = self._grant(tenant, patience, instead_of)
+                grant = self._grant(tenant, patience, instead_of, priority)
             else:
                 grant = await self._ask_owner(
-                    owner, tenant, patience, instead_of
+                    owner, tenant, patience, instead_of, priority
                 )
             if grant is not None:
                 return core.Admission(
-                    grant.granted, grant.wait, owner, grant.part, grant.at
+                    grant.granted,
+                    grant.wait,
+                    owner,
+                    grant.part,
+                    grant.at,
+                    grant.reserved,
                 )
             instead_of = instead_of or self._domains.get(owner, '')
         return core.Admission(False, RETRY_AFTER_S)
@@ -153,6 +159,7 @@
         tenant: tenants.Tenant,
         patience: float,
         instead_of: str,
+        priority: int,
     ) -> core.Grant | None:
         question = messages.AskQuota(
             tenant.name,
@@ -161,6 +168,7 @@
             self._version(),
             patience,
             instead_of,
+            priority,
         )
         asked = await self._peers.ask_within(owner, question, OWNER_TIMEOUT_S)
         if isinstance(asked.answer, messages.QuotaGrant):
@@ -207,7 +215,12 @@
                 question.tenant, frozenset(), question.rate, question.burst
             )
         return messages.QuotaGrant(
-            self._grant(tenant, question.patience, question.instead_of)
+            self._grant(
+                tenant,
+                question.patience,
+                question.instead_of,
+                question.priority,
+            )
         )
 
     def take_back(self, body: messages.QuotaBack) -> None:
@@ -226,7 +239,11 @@
         self._owner.take_off(body.tenant, now)
 
     def _grant(
-        self, tenant: tenants.Tenant, patience: float, instead_of: str
+        self,
+        tenant: tenants.Tenant,
+        patience: float,
+        instead_of: str,
+        priority: int,
     ) -> core.Grant:
         self._check_pause()
         now = self._clock.now()
@@ -239,6 +256,7 @@
             now,
             is_fallback=is_fallback,
             first_since=self._first_since(tenant.name, is_fallback, now),
+            priority=priority,
         )
         if is_fallback and grant.granted:
             self._peers.send_to(usual, messages.QuotaTaken(tenant.name))
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -15,6 +15,9 @@
 
 #: Cap on an age that is sent, in milliseconds; it fits into 32 bits.
 MAX_AGE_MS = 1_000_000_000
+#: Highest priority number that is sent; it fits into 8 bits. All lower
+#: priorities count as this one.
+MAX_PRIORITY = 255
 
 
 class Malformed(Exception):
@@ -195,6 +198,7 @@
     ask.configVersion = body.config_version
     ask.patience = body.patience
     ask.insteadOf = body.instead_of
+    ask.priority = min(max(body.priority, 0), MAX_PRIORITY)
 
 
 def _put_quota(wire: typing.Any, body: messages.QuotaGrant) -> None:
@@ -203,6 +207,7 @@
     grant.wait = body.grant.wait
     grant.part = body.grant.part
     grant.at = body.grant.at
+    grant.reserved = body.grant.reserved
 
 
 def _put_quota_back(wire: typing.Any, body: messages.QuotaBack) -> None:
@@ -311,6 +316,13 @@
         ask.configVersion,
         ask.patience,
         ask.insteadOf,
+        ask.priority,
+    )
+
+
+def _grant_of(grant: typing.Any) -> core.Grant:
+    return core.Grant(
+        grant.granted, grant.wait, grant.part, grant.at, grant.reserved
     )
 
 
@@ -402,9 +414,7 @@
     ),
     'askDomain': lambda w: messages.AskDomain(w.askDomain, tuple(w.known)),
     'askQuota': lambda w: _ask_quota_of(w.askQuota),
-    'quota': lambda w: messages.QuotaGrant(
-        core.Grant(w.quota.granted, w.quota.wait, w.quota.part, w.quota.at)
-    ),
+    'quota': lambda w: messages.QuotaGrant(_grant_of(w.quota)),
     'quotaBack': lambda w: messages.QuotaBack(
         w.quotaBack.tenant, w.quotaBack.at
     ),
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -265,7 +265,8 @@
     ``rate``, in operations a second, and ``burst`` are those of the tenant in
     configuration ``config_version``. The operation can wait for ``patience``
     seconds. If ``instead_of`` is set, the usual owner, in that failure
-    domain, did not answer.
+    domain, did not answer. ``priority`` is that of the operation's route; 0
+    is the most urgent, and that of requests from older proxies.
     """
 
     tenant: str
@@ -274,6 +275,7 @@
     config_version: int
     patience: float
     instead_of: str = ''
+    priority: int = 0
 
 
 @attrs.frozen
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -131,6 +131,7 @@
   configVersion @3 :UInt64;
   patience @4 :Float64;   # seconds that the operation can wait
   insteadOf @5 :Text;     # domain of the usual keeper, which did not answer
+  priority @6 :UInt8;     # of the operation; 0 is the most urgent
 }
 
 struct QuotaGrant {
@@ -139,6 +140,7 @@
   part @2 :Float32;       # share of all proxies that the keeper sees,
                           # and of the limit that it grants
   at @3 :Float64;         # when it counts, in seconds of the keeper's clock
+  reserved @4 :Bool;      # refused to keep a reserve for urgent operations
 }
 
 struct QuotaBack {
--- a/src/tidegrade/sessions/_deps.py
+++ b/src/tidegrade/sessions/_deps.py
@@ -58,7 +58,7 @@
     """The interface of tenant quotas that a session uses."""
 
     async def admit(
-        self, tenant: tenants.Tenant, patience: float
+        self, tenant: tenants.Tenant, patience: float, priority: int = 0
     ) -> core.Admission:
         """Request a grant for an operation; wait up to ``patience`` s."""
 
@@ -70,7 +70,7 @@
     """Quota access that grants every operation."""
 
     async def admit(
-        self, tenant: tenants.Tenant, patience: float
+        self, tenant: tenants.Tenant, patience: float, priority: int = 0
     ) -> core.Admission:
         """Return a grant without a wait."""
         return core.Admission(True)
--- a/src/tidegrade/sessions/_operations.py
+++ b/src/tidegrade/sessions/_operations.py
@@ -74,7 +74,9 @@
             return start
         route = start.unwrap().access.route
         max_wait = route.target_latency * QUOTA_WAIT_SHARE
-        admission = await self._deps.quotas.admit(tenant, max_wait)
+        admission = await self._deps.quotas.admit(
+            tenant, max_wait, route.priority
+        )
         if not admission.granted:
             return result.Err(_over_quota(admission))
         if admission.wait:
@@ -126,8 +128,14 @@
     """Return the refusal of an operation over quota, with a retry time."""
     detail = "no owner of the tenant's quota answered"
     if admission.owner:
+        reason = 'the tenant is over its quota'
+        if admission.reserved:
+            reason = (
+                "the rest of the tenant's quota is reserved for more urgent "
+                'operations'
+            )
         detail = (
-            f'the tenant is over its quota according to {admission.owner}, '
+            f'{reason} according to {admission.owner}, '
             f'which sees {admission.part:.0%} of the proxies'
         )
     return core.Answer(
--- a/tests/peers/test_message_codec.py
+++ b/tests/peers/test_message_codec.py
@@ -26,8 +26,9 @@
 @pytest.mark.parametrize(
     'body',
     [
-        messages.AskQuota('acme', 40.0, 20.0, 7, 0.05, 'a'),
+        messages.AskQuota('acme', 40.0, 20.0, 7, 0.05, 'a', 2),
         messages.QuotaGrant(core.Grant(True, 0.25, 0.5, 1234.5)),
+        messages.QuotaGrant(core.Grant(False, 0.25, 0.5, reserved=True)),
         messages.QuotaBack('acme', 1234.5),
     ],
 )
--- a/tests/proofs/test_quota_model.py
+++ b/tests/proofs/test_quota_model.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Iterable
+import itertools
 import random
 import typing
 
@@ -153,9 +154,13 @@
 class OwnerPolicy:
     """The policy of tidegrade: one proxy owns the tenant's quota."""
 
+    #: Priorities of successive operations.
+    priorities: tuple[int, ...] = (0,)
+
     def __init__(self) -> None:
         self._owners = {p: core.QuotaOwner() for p in PROXIES}
         self._ownership = {p: core.Ownership(p, 0.0) for p in PROXIES}
+        self._priorities = itertools.cycle(self.priorities)
         self._now = 0.0
         self._seen: dict[str, set[str]] = {}
 
@@ -180,6 +185,7 @@
             model.now,
             is_fallback=not is_first,
             first_since=since if is_first else None,
+            priority=next(self._priorities),
         )
         return grant.granted
 
@@ -214,6 +220,12 @@
             self._ownership[proxy].reset(self._now)
 
 
+class MixedPriorities(OwnerPolicy):
+    """The same policy for operations of three priorities."""
+
+    priorities = (0, 1, 2, 1, 2)
+
+
 class FullRate(OwnerPolicy):
     """Owners that grant the full rate, however few proxies they see."""
 
@@ -309,12 +321,6 @@
         self.model.rates.append((self.model.now, rate))
 
 
-class ReportedTotalsMachine(Machine):
-    """The same histories for proxies that report totals to each other."""
-
-    make_policy = ReportedTotals
-
-
 class QuietTimesMachine(Machine):
     """The same histories with quiet times, in which bursts accrue.
 
@@ -327,6 +333,18 @@
         self.model.advance(seconds, 0)
 
 
+class MixedPrioritiesMachine(QuietTimesMachine):
+    """The same histories for operations of three priorities."""
+
+    make_policy = MixedPriorities
+
+
+class ReportedTotalsMachine(Machine):
+    """The same histories for proxies that report totals to each other."""
+
+    make_policy = ReportedTotals
+
+
 HISTORIES = settings(
     max_examples=60,
     stateful_step_count=14,
@@ -344,6 +362,10 @@
     run_histories(Machine)
 
 
+def test_a_mix_of_priorities_does_not_exceed_the_permitted_excess():
+    run_histories(MixedPrioritiesMachine)
+
+
 def test_owners_first_for_long_do_not_exceed_the_permitted_excess():
     run_histories(QuietTimesMachine)
 
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -49,6 +49,7 @@
     now: float = 10.0
     numbers: int = 0
     phase: sessions.ServicePhase = sessions.ServicePhase.SERVING
+    quotas: sessions.QuotaAccess = attrs.field(factory=sessions.UnlimitedQuota)
 
     def open(self) -> sessions.Session:
         deps = sessions.SessionDeps(
@@ -56,6 +57,7 @@
             group_of=lambda name: self.group,
             next_number=self._next,
             now=lambda: self.now,
+            quotas=self.quotas,
             phase=lambda: self.phase,
         )
         return sessions.Session('db', CALLER, deps)
@@ -352,3 +354,33 @@
     reply = session.interrupted(WRITE)
     assert reply.answer.outcome is core.Outcome.NOT_RUN
     assert reply.state is sessions.SessionState.FAILED
+
+
+class RefusingQuota(sessions.UnlimitedQuota):
+    """A quota that is used up, or whose rest is reserved."""
+
+    def __init__(self, reserved: bool) -> None:
+        self._reserved = reserved
+        self.priorities: list[int] = []
+
+    async def admit(self, tenant, patience, priority=0):
+        self.priorities.append(priority)
+        return core.Admission(False, 0.5, 'p.r', 1.0, reserved=self._reserved)
+
+
+@pytest.mark.parametrize(
+    ('reserved', 'reason'),
+    [
+        (False, 'the tenant is over its quota according to p.r'),
+        (True, "the rest of the tenant's quota is reserved for more urgent"),
+    ],
+)
+async def test_a_refusal_by_quota_states_its_reason(harness, reserved, reason):
+    """The route's priority goes to the owner, and its reason comes back."""
+    holder = tenants.Tenant('acme', frozenset({CALLER.key_hash}), 5.0, 5.0)
+    harness.keyring = tenants.Keyring([holder])
+    harness.quotas = RefusingQuota(reserved)
+    reply = await harness.open().handle(READ)
+    assert reply.answer.code is core.Code.TENANT_LIMIT
+    assert reply.answer.detail.startswith(reason)
+    assert harness.quotas.priorities == [ROUTE.priority]
