--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -13,6 +13,9 @@
 
 #: Cap on an age that is sent, in milliseconds; it fits into 32 bits.
 MAX_AGE_MS = 1_000_000_000
+#: Highest priority number that is sent; it fits into 8 bits. All lower
+#: priorities count as this one.
+MAX_PRIORITY = 255
 
 
 class Malformed(Exception):
@@ -184,6 +187,7 @@
     ask.configVersion = body.config_version
     ask.patience = body.patience
     ask.insteadOf = body.instead_of
+    ask.priority = min(max(body.priority, 0), MAX_PRIORITY)
 
 
 def _put_quota(wire: typing.Any, body: messages.QuotaGrant) -> None:
@@ -192,6 +196,7 @@
     grant.wait = body.grant.wait
     grant.part = body.grant.part
     grant.at = body.grant.at
+    grant.reserved = body.grant.reserved
 
 
 def _put_quota_back(wire: typing.Any, body: messages.QuotaBack) -> None:
@@ -301,12 +306,15 @@
         ask.configVersion,
         ask.patience,
         ask.insteadOf,
+        ask.priority,
     )
 
 
 def _quota_of(quota: typing.Any) -> messages.QuotaGrant:
     return messages.QuotaGrant(
-        core.Grant(quota.granted, quota.wait, quota.part, quota.at)
+        core.Grant(
+            quota.granted, quota.wait, quota.part, quota.at, quota.reserved
+        )
     )
 
 
