--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -103,6 +103,7 @@
 from tidegrade.core.limits._quota import quota_owners
 from tidegrade.core.limits._quota import QuotaOwner
 from tidegrade.core.limits._quota import visible_part
+from tidegrade.core.placing._contacts import Contacts
 from tidegrade.core.placing._homes import expected_homes
 from tidegrade.core.placing._homes import home_of_tenant
 from tidegrade.core.placing._homes import Homes
@@ -136,6 +137,7 @@
     'ConfigRef',
     'ConnClosed',
     'ConnOpened',
+    'Contacts',
     'ControlEnded',
     'ControlRequested',
     'ControlsCancelled',
