Add a relay's own contacts with other domains to digests

Cause: a member of a domain can't tell from the heartbeats in a digest whether its relays are in contact with other domains.

Ruled out: a message of its own: a relay sends a digest every half second.

Change: Digest.contacts @6, a list of domain and age in ms. Older proxies ignore the field, their digests have an empty list.

Before: no such field. After: the digest with a contact round-trips (tests/peers).

--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -167,6 +167,10 @@
     digest.sender = body.sender
     digest.configVersion = body.config_version
     digest.configAge = _config_age_ms(body.config_age)
+    contacts = digest.init('contacts', len(body.contacts))
+    for slot, contact in zip(contacts, body.contacts, strict=True):
+        slot.domain = contact.domain
+        slot.ageMs = min(math.ceil(contact.age * 1000), MAX_AGE_MS)
 
 
 def _put_ask_domain(wire: typing.Any, body: messages.AskDomain) -> None:
@@ -281,6 +285,10 @@
         sender=digest.sender,
         config_version=digest.configVersion,
         config_age=_config_age_of(digest.configAge),
+        contacts=tuple(
+            messages.DomainContact(part.domain, part.ageMs / 1000)
+            for part in digest.contacts
+        ),
     )
 
 
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -200,6 +200,17 @@
     age: float
 
 
+@attrs.frozen
+class DomainContact:
+    """The sender's own last contact with another failure domain.
+
+    A proxy of that domain sent it a message ``age`` seconds ago.
+    """
+
+    domain: str
+    age: float
+
+
 @attrs.frozen
 class Digest:
     """The heartbeats that ``sender`` knows, as gossip between proxies.
@@ -208,7 +219,8 @@
     heartbeats in full, ``alive`` names proxies whose heartbeats are older,
     and ``rolls`` summarizes all others, one entry per failure domain. The
     sender itself is included. ``config_version`` and ``config_age`` are the
-    sender's, as in its heartbeat.
+    sender's, as in its heartbeat. ``contacts`` are stated only to proxies of
+    the sender's own domain, and never hold what another proxy reported.
     """
 
     news: tuple[AgedHeartbeat, ...] = ()
@@ -217,6 +229,7 @@
     sender: str = ''
     config_version: int = 0
     config_age: float | None = None
+    contacts: tuple[DomainContact, ...] = ()
 
     def named(self) -> frozenset[str]:
         """Return the proxies that the digest names one by one."""
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -54,6 +54,11 @@
   ageMs @3 :UInt32;
 }
 
+struct DomainContact {
+  domain @0 :Text;
+  ageMs @1 :UInt32;      # since a proxy there last sent the sender a message
+}
+
 struct Digest {
   news @0 :List(AgedHeartbeat);
   alive @1 :List(AliveProxy);
@@ -61,6 +66,7 @@
   sender @3 :Text;
   configVersion @4 :UInt64;  # of the configuration in force at the sender
   configAge @5 :UInt32;      # as in its heartbeat
+  contacts @6 :List(DomainContact);  # only within a domain
 }
 
 struct EndpointList {
--- a/tests/peers/test_message_codec.py
+++ b/tests/peers/test_message_codec.py
@@ -29,8 +29,11 @@
         messages.AskQuota('acme', 40.0, 20.0, 7, 0.05, 'a'),
         messages.QuotaGrant(core.Grant(True, 0.25, 0.5, 1234.5)),
         messages.QuotaBack('acme', 1234.5),
+        messages.Digest(
+            sender='p', contacts=(messages.DomainContact('b', 0.25),)
+        ),
     ],
 )
-def test_quota_messages_round_trip(body):
+def test_messages_round_trip(body):
     sent = codec.encode(messages.PeerMessage(body))
     assert codec.decode(sent).body == body
