Bound the time limit for isolation where relays report contacts

Cause: with contacts that a relay reports every half second, 1.5 times the usual gap is below what one lost digest makes of it (gaps of less than a second), and up to 1.65 s, so detection could take more than 1.7 s. Nor does the age of a contact tell a partition from relays that have failed.

Ruled out: a fixed limit of 1.55 s: most proxies see gaps of 0.5 to 0.7 s and detect a partition after 1.1 to 1.2 s with a limit that follows them.

Change: observe() takes the time by which each relay was heard. Behind relays the limit is at least 1.1 s and the usual gap plus one digest interval, at most 1.55 s; 1.7 s while a relay was not heard 0.55 s after the last contact. Without relays nothing changes.

After: tests/core/test_isolation.py, 206 passed.

--- a/src/tidegrade/core/_isolation.py
+++ b/src/tidegrade/core/_isolation.py
@@ -21,6 +21,21 @@
 #: relay forwards heartbeats every 0.5 s, and a heartbeat may pass through two
 #: relays.
 MAX_HEARTBEAT_GAP_S = 1.1
+#: Interval between two digests of a relay, in seconds. Where contact is
+#: reported by relays, one lost digest makes a contact look older by it.
+DIGEST_INTERVAL_S = 0.5
+#: Shortest and longest time limit where contact is reported by relays, in
+#: seconds. A contact is up to two intervals old when only one relay is left,
+#: and three when a digest of it is lost. A domain that is cut off must be
+#: detected within 1.7 s, with the interval between two observations.
+MIN_RELAYED_SILENCE_S = 1.1
+MAX_RELAYED_SILENCE_S = 1.55
+#: Time limit, in seconds, where no relay was heard long enough after the last
+#: contact to tell whether there was another: the relays may have failed.
+UNHEARD_SILENCE_S = 1.7
+#: Time after the last contact at which a relay must have been heard, in
+#: seconds: a relay in contact reports one that is at most an interval old.
+RELAY_HEARD_AFTER_S = 0.55
 #: Half-life, in seconds, of the recorded longest interval.
 HEARTBEAT_GAP_HALF_LIFE_S = 10.0
 #: Time without a heartbeat, in seconds, after which a permission that is still
@@ -41,11 +56,12 @@
     """Tracks whether this failure domain is isolated; times in seconds."""
 
     since: float | None = None
-    #: Time since the newest heartbeat of another domain, as of the latest
+    #: Time since the last contact with another domain, as of the latest
     #: observation.
     silence: float = 0.0
     _received_at: float = float('-inf')
     _longest_gap: float = 0.0
+    _relays_heard_at: float | None = None
     _observed_at: float = float('-inf')
 
     @property
@@ -56,20 +72,34 @@
     @property
     def silence_limit_s(self) -> float:
         """The time without a heartbeat up to which the domain is connected."""
-        return max(
+        usual = max(
             MIN_ISOLATION_SILENCE_S, HEARTBEAT_GAP_FACTOR * self._longest_gap
         )
+        if self._relays_heard_at is None:
+            return usual
+        if self._relays_heard_at < self._received_at + RELAY_HEARD_AFTER_S:
+            return UNHEARD_SILENCE_S
+        one_lost = self._longest_gap + DIGEST_INTERVAL_S
+        return min(
+            max(MIN_RELAYED_SILENCE_S, usual, one_lost), MAX_RELAYED_SILENCE_S
+        )
 
     def observe(
-        self, received_at: float | None, permitted: bool, now: float
+        self,
+        received_at: float | None,
+        permitted: bool,
+        now: float,
+        relays_heard_at: float | None = None,
     ) -> bool:
         """Update the state and return whether ``cut_off`` has changed.
 
-        ``received_at`` is when the newest heartbeat of another domain arrived,
-        None if none ever did. ``permitted`` is true if this proxy holds the
-        permission of at least one group.
+        ``received_at`` is the time of the last contact with another domain,
+        None if there was none. ``permitted`` is true if this proxy holds the
+        permission of at least one group. ``relays_heard_at`` is the time by
+        which each relay has reported contacts, None without relays.
         """
         before = self.cut_off
+        self._relays_heard_at = relays_heard_at
         self._track_gap(received_at, now)
         if not self._is_cut_off(received_at, permitted, now):
             self.since = None
