Judge by contacts whether a failure domain is reachable

Cause: relays of a partitioned domain send each other the ages of the other domains' heartbeats.

Ruled out: rounding of ages (they are rounded up); pulls (they count from the request); heartbeats sent directly (none arrived).

Change: silent domains and isolation follow direct contacts, and those that relays of the own domain state of themselves. A relay that regains contact says so at once, and contacts a relay that it is introduced to. The next proxies in order act as relays when one was silent for 1.1 s (event 1407); relays of other domains answer them. Digests without contacts count by their heartbeats below an age of 2 s.

--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -50,6 +50,23 @@
 #: pass on, in seconds. While proxies start, their views of the relays differ,
 #: and a heartbeat sent to a proxy that does not relay would be lost.
 RELAY_DUTY_S = 2.0
+#: Silence of a relay of the own domain after which the next proxies in order
+#: act as relays too, in seconds: two intervals, since one digest may be lost,
+#: and a margin for a late one. The relay counts as alive for longer.
+RELAY_SILENCE_S = 1.1
+#: Number of proxies in order of which one may act as a relay, so that the
+#: domain keeps two when several of the first fail at once.
+RELAY_CANDIDATES = 4 * RELAYS
+#: Silence of a domain after which a relay reports the next contact at once,
+#: in seconds: as for a relay.
+CONTACT_LOST_S = 1.1
+#: Age below which relayed heartbeats in a digest without contacts count as a
+#: contact, in seconds. Older proxies send no contacts, and their digests may
+#: repeat heartbeats of a domain that is cut off.
+UNREPORTED_CONTACT_AGE_S = 2.0
+#: Time for which a relay sends digests to a proxy of another domain that sent
+#: it some without being a known relay, in seconds.
+STAND_IN_S = 1.2
 #: Time for which a relay collects urgent changes before it forwards them, in
 #: seconds: many proxies change for one cause at about the same time.
 URGENT_DELAY_S = 0.02
@@ -88,7 +105,22 @@
         self._clock = clock
         self._rng = rng
         self._relay_requested_at = float('-inf')
+        #: As of the last heartbeat of this proxy: whether it used a full
+        #: mesh, the relays of its domain, and those that act as such, which
+        #: may stand in for silent ones.
+        self._was_mesh = True
+        self._own_relays: tuple[str, ...] = ()
+        self._acting_relays: tuple[str, ...] = ()
+        #: When relays of the own domain last sent a digest, and since when
+        #: they are expected to.
+        self._relay_heard_at: dict[str, float] = {}
+        self._relay_expected_at: dict[str, float] = {}
+        #: When proxies of other domains that are no known relays there sent
+        #: digests to this one, which is a relay.
+        self._stand_ins: dict[str, float] = {}
+        self._contact_regained = False
         self._own_beat: messages.Heartbeat | None = None
+        self._own_beat_at = float('-inf')
         self._own_revision = 0
         self._own_changed_at = float('-inf')
         self._urgent_changes: dict[str, messages.AgedHeartbeat] = {}
@@ -112,6 +144,13 @@
 
     def flush(self) -> None:
         """Forward the urgent changes collected since the last call."""
+        if self._contact_regained:
+            self._contact_regained = False
+            self._send_within_domain(
+                messages.Digest(
+                    sender=self._identity.proxy, contacts=self._contacts()
+                )
+            )
         news, self._urgent_changes = tuple(self._urgent_changes.values()), {}
         if not news:
             return
@@ -125,15 +164,18 @@
     def send(self, beat: messages.Heartbeat) -> None:
         """Send this proxy's own heartbeat to all proxies or to its relays."""
         self._update_own(beat)
-        if self._uses_mesh():
+        self._was_mesh = self._uses_mesh()
+        if self._was_mesh:
             for address in self._roster.addresses():
                 self._links.post(address, beat)
             return
+        self._choose_acting_relays()
         to_relay = attrs.evolve(beat, pass_on=True)
-        for proxy in self.relays(self._identity.domain):
+        for proxy in {*self._own_relays, *self._acting_relays}:
             self._post(proxy, to_relay)
 
     def _update_own(self, beat: messages.Heartbeat) -> None:
+        self._own_beat_at = self._clock.now()
         if beat == self._own_beat:
             return
         revision = beat.revision()
@@ -152,7 +194,10 @@
             return
         self._update_own(own)
         domains = self._roster.domains() | {self._identity.domain}
-        self._send_within_domain(self._digest(domains, own))
+        inside = self._digest(domains, own)
+        self._send_within_domain(
+            attrs.evolve(inside, contacts=self._contacts())
+        )
         # Holds this proxy's heartbeat in full: a recipient that does not know
         # this proxy has no address to pull from, and two domains that restart
         # together would never learn of each other.
@@ -164,16 +209,35 @@
                 self._post(relays[own_place % len(relays)], outside)
             else:
                 self._send_to_listed(domain, outside)
+        for proxy in self._current_stand_ins():
+            self._post(proxy, outside)
+
+    def _current_stand_ins(self) -> list[str]:
+        """Return the proxies of other domains that stand in for relays."""
+        oldest = self._clock.now() - STAND_IN_S
+        self._stand_ins = {
+            proxy: at
+            for proxy, at in self._stand_ins.items()
+            if at >= oldest and not self._is_relay_elsewhere(proxy)
+        }
+        return list(self._stand_ins)
+
+    def _is_relay_elsewhere(self, proxy: str) -> bool:
+        return proxy in self.relays(self._roster.domain_of(proxy))
+
+    def _contacts(self) -> tuple[messages.DomainContact, ...]:
+        """Return this proxy's own contacts with the other domains."""
+        ages = self._roster.contacts.direct_ages(self._clock.now())
+        return tuple(messages.DomainContact(*found) for found in ages.items())
 
     def _relay_index(self) -> int:
         """Return this proxy's index among the relays of its domain.
 
         It is 0 for a proxy that relays only because others chose it.
         """
-        relays = self.relays(self._identity.domain)
-        if self._identity.proxy not in relays:
+        if self._identity.proxy not in self._acting_relays:
             return 0
-        return relays.index(self._identity.proxy)
+        return self._acting_relays.index(self._identity.proxy)
 
     def announce(self, body: messages.Announcement) -> None:
         """Send a message to all proxies, directly or through the relays."""
@@ -263,6 +327,7 @@
     def receive_heartbeat(self, beat: messages.Heartbeat) -> None:
         """Store a heartbeat received directly from its proxy."""
         now = self._clock.now()
+        self._record_direct_contact(beat.domain, now)
         if beat.pass_on:
             self._relay_requested_at = now
             beat = attrs.evolve(beat, pass_on=False)
@@ -275,13 +340,17 @@
     def receive_digest(self, digest: messages.Digest) -> None:
         """Store what a digest holds, and schedule a pull if it differs."""
         now = self._clock.now()
+        newest = self._roster.newest_heartbeats()
+        introduced = [
+            aged.beat.proxy
+            for aged in digest.news
+            if self._is_introduced(aged.beat, digest)
+        ]
         for aged in digest.news:
             self._store(aged, now, aged.beat.proxy != digest.sender)
         for entry in digest.alive:
             at = now - entry.age
-            self._roster.refresh_unchanged(
-                entry.proxy, entry.revision, at, now
-            )
+            self._roster.refresh_unchanged(entry.proxy, entry.revision, at)
         self._roster.record_config(
             digest.sender, digest.config_version, digest.config_age, now
         )
@@ -298,6 +367,115 @@
                 # The first mismatch may only be a race: this proxy may have
                 # got a change from another relay before this one forwards it.
                 self._mismatched.add(pull)
+        self._record_contacts(digest, newest, now)
+        for proxy in introduced:
+            self._send_own(proxy)
+
+    # Contact with other domains -------------------------------------------
+
+    def relays_heard_at(self) -> float | None:
+        """Return the time by which each relay of this domain was heard.
+
+        Contacts before that time are known. None in a full mesh, where this
+        proxy is itself in contact with other domains.
+        """
+        if self._was_mesh:
+            return None
+        if self._identity.proxy in self._own_relays:
+            return self._clock.now()
+        never = float('-inf')
+        return min(
+            (self._relay_heard_at.get(p, never) for p in self._acting_relays),
+            default=never,
+        )
+
+    def _record_direct_contact(self, domain: str, now: float) -> None:
+        if domain == self._identity.domain:
+            return
+        last = self._roster.contacts.last(domain)
+        self._roster.contacts.record_direct(domain, now)
+        lost = last is None or now - last >= CONTACT_LOST_S
+        if lost and self.is_relay():
+            self._contact_regained = True
+            self._wakeup.set()
+
+    def _record_contacts(
+        self, digest: messages.Digest, newest: dict[str, float], now: float
+    ) -> None:
+        """Record contact with the sender's domain, or those that it states.
+
+        ``newest`` holds when the newest heartbeat of each domain had been
+        sent as far as it was known before this digest.
+        """
+        domain = self._roster.domain_of(digest.sender)
+        if not domain:
+            return
+        if domain != self._identity.domain:
+            self._record_direct_contact(domain, now)
+            self._answer_stand_in(digest, now)
+            return
+        for contact in digest.contacts:
+            if contact.domain != domain:
+                self._roster.contacts.record_report(
+                    contact.domain, now - contact.age
+                )
+        if not digest.contacts:
+            self._count_heartbeats_as_contacts(newest, now)
+        if digest.rolls or digest.contacts:
+            self._relay_heard_at[digest.sender] = now
+
+    def _count_heartbeats_as_contacts(
+        self, newest: dict[str, float], now: float
+    ) -> None:
+        """Record contact with each domain that a newer heartbeat is of."""
+        for domain, at in self._roster.newest_heartbeats().items():
+            if domain == self._identity.domain or at <= newest.get(domain, 0):
+                continue
+            if now - at < UNREPORTED_CONTACT_AGE_S:
+                self._roster.contacts.record_report(domain, now)
+
+    def _is_introduced(
+        self, beat: messages.Heartbeat, digest: messages.Digest
+    ) -> bool:
+        """Return whether a digest introduces a relay of another domain.
+
+        See :meth:`_introduce_own_relays`. The relay is sent a heartbeat at
+        once, since its domain may have been out of contact.
+        """
+        return (
+            not digest.rolls
+            and digest.sender != ''
+            and beat.proxy != digest.sender
+            and beat.domain != self._identity.domain
+            and beat.proxy not in self.relays(beat.domain)
+        )
+
+    def _answer_stand_in(self, digest: messages.Digest, now: float) -> None:
+        """Send digests to a proxy that stands in for relays of its domain.
+
+        It needs them to be in contact with this domain, and this relay does
+        not choose it while the failed relays count as alive.
+        """
+        if not digest.rolls or self._uses_mesh() or not self.is_relay():
+            return
+        if self._is_relay_elsewhere(digest.sender):
+            return
+        if digest.sender not in self._stand_ins:
+            self._send_own(digest.sender)
+        self._stand_ins[digest.sender] = now
+
+    def _send_own(self, proxy: str) -> None:
+        """Send this proxy's own heartbeat to a proxy of another domain."""
+        if self._own_beat is None or not self.is_relay():
+            return
+        age = self._clock.now() - self._own_beat_at
+        self._post(
+            proxy,
+            messages.Digest(
+                (messages.AgedHeartbeat(self._own_beat, age),),
+                sender=self._identity.proxy,
+            ),
+        )
 
     def answer_pull(self, request: messages.AskDomain) -> messages.Digest:
         """Return the heartbeats of a failure domain that the sender lacks.
@@ -427,12 +605,11 @@
         Their ages count from the time at which the pull was sent, so a slow
         answer cannot make a silent proxy look alive.
         """
-        now = self._clock.now()
         for aged in digest.news:
             self._store(aged, pulled_at, True)
         for entry in digest.alive:
             self._roster.refresh_unchanged(
-                entry.proxy, entry.revision, pulled_at - entry.age, now
+                entry.proxy, entry.revision, pulled_at - entry.age
             )
 
     # Relays ---------------------------------------------------------------
@@ -447,6 +624,8 @@
             return False
         if self._clock.now() - self._relay_requested_at < RELAY_DUTY_S:
             return True
+        if self._identity.proxy in self._acting_relays:
+            return True
         return self._identity.proxy in self.relays(self._identity.domain)
 
     def relays(self, domain: str) -> tuple[str, ...]:
@@ -456,11 +635,50 @@
         have sent no heartbeat yet count too, since they may be restarted
         relays.
         """
+        return self._ranked(domain, RELAYS)
+
+    def _ranked(self, domain: str, count: int) -> tuple[str, ...]:
         candidates = self._roster.candidates(self._clock.now())
         proxies = candidates.get(domain, set())
         if domain == self._identity.domain:
             proxies = proxies | {self._identity.proxy}
-        return core.top_ranked(f'relay {domain}', proxies, RELAYS)
+        return core.top_ranked(f'relay {domain}', proxies, count)
+
+    def _choose_acting_relays(self) -> None:
+        """Choose the proxies that act as relays of this domain.
+
+        They are the first in order that are not silent.
+        """
+        now = self._clock.now()
+        acting: list[str] = []
+        expected_at: dict[str, float] = {}
+        heard_at: dict[str, float] = {}
+        ranked = self._ranked(self._identity.domain, RELAY_CANDIDATES)
+        for proxy in ranked:
+            if len(acting) == RELAYS:
+                break
+            if proxy == self._identity.proxy:
+                acting.append(proxy)
+                continue
+            expected_at[proxy] = self._relay_expected_at.get(proxy, now)
+            heard_at[proxy] = self._relay_heard_at.get(proxy, float('-inf'))
+            silent_since = max(expected_at[proxy], heard_at[proxy])
+            if now - silent_since < RELAY_SILENCE_S:
+                acting.append(proxy)
+        self._own_relays = ranked[:RELAYS]
+        was_standing_in = self._is_standing_in()
+        self._acting_relays = tuple(acting)
+        if self._is_standing_in() and not was_standing_in:
+            logs.write(
+                logs.LogEvent.RELAYS_SILENT,
+                silent=[p for p in self._own_relays if p not in acting],
+            )
+        self._relay_expected_at = expected_at
+        self._relay_heard_at = heard_at
+
+    def _is_standing_in(self) -> bool:
+        own = self._identity.proxy
+        return own in self._acting_relays and own not in self._own_relays
 
 
 @attrs.define
--- a/src/tidegrade/daemon/_peers_task.py
+++ b/src/tidegrade/daemon/_peers_task.py
@@ -30,9 +30,9 @@
 #: Additional age, in heartbeat intervals, up to which a relayed heartbeat
 #: counts as alive: each of the two relays on its path adds up to one interval.
 RELAYED_INTERVALS = 2
-#: Time without a newer heartbeat after which a failure domain counts as cut
-#: off, in seconds: two intervals, since one digest may be lost, and a margin
-#: for a late one. Single proxies count as alive for longer.
+#: Time without contact after which a failure domain counts as cut off, in
+#: seconds: two intervals, since one digest may be lost, and a margin for a
+#: late one. Single proxies count as alive for longer.
 DOMAIN_SILENCE_S = 1.2
 
 
@@ -104,9 +104,16 @@
         """Return all known peers, alive or not."""
         return self._roster.known()
 
-    def last_heartbeat_outside(self) -> float | None:
-        """Return when a newer heartbeat of another domain last arrived."""
-        return self._roster.last_heartbeat_outside(self._deps.domain)
+    def last_contact(self) -> float | None:
+        """Return when another domain was last in contact, None if never."""
+        return self._roster.last_contact()
+
+    def relays_heard_at(self) -> float | None:
+        """Return the time by which each relay of this domain was heard.
+
+        None if this proxy does not depend on relays.
+        """
+        return self._gossip.relays_heard_at()
 
     def alive(self) -> list[_roster.Peer]:
         """Return the peers that are alive."""
--- a/src/tidegrade/daemon/_roster.py
+++ b/src/tidegrade/daemon/_roster.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from tidegrade import core
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
@@ -70,10 +71,10 @@
         self._peers: dict[str, Peer] = {}
         self._id_by_address: dict[_links.Address, str] = {}
         self._serving: dict[messages.GroupKey, dict[str, Peer]] = {}
-        #: For each failure domain, the times at which the newest heartbeat
-        #: was sent by its proxy and received here.
+        #: For each failure domain, when its newest heartbeat was sent.
         self._newest_sent_at: dict[str, float] = {}
-        self._newest_received_at: dict[str, float] = {}
+        #: Contact with the other failure domains.
+        self.contacts = core.Contacts()
         self._listed: dict[_links.Address, _ListedVm] = {}
 
     # Updates --------------------------------------------------------------
@@ -106,27 +107,25 @@
         known = self._peers.get(beat.proxy)
         if known is None:
             peer = Peer(beat, at, now, beat.revision(), relayed)
-            self._add(peer, now)
+            self._add(peer)
             _record_config(peer, beat.config_age, at)
             return peer
         if known.sent_at >= at:
             return None
-        self._refresh(known, at, relayed, now)
+        self._refresh(known, at, relayed)
         if known.beat != beat:
             self._change(known, beat, now)
         _record_config(known, beat.config_age, at)
         return known
 
-    def refresh_unchanged(
-        self, proxy: str, revision: int, at: float, now: float
-    ) -> None:
+    def refresh_unchanged(self, proxy: str, revision: int, at: float) -> None:
         """Record that an unchanged heartbeat was sent again at ``at``."""
         known = self._peers.get(proxy)
         if known is None or known.revision != revision:
             # The content may have changed: the full heartbeat follows.
             return
         if known.sent_at < at:
-            self._refresh(known, at, True, now)
+            self._refresh(known, at, True)
 
     def match_summary(
         self,
@@ -153,7 +152,7 @@
         at = now - roll.age
         for peer in members:
             if peer.sent_at < at:
-                self._refresh(peer, at, True, now)
+                self._refresh(peer, at, True)
         return True
 
     def record_config(
@@ -177,7 +176,7 @@
             if peer.sent_at < oldest:
                 self._remove(peer)
 
-    def _add(self, peer: Peer, now: float) -> None:
+    def _add(self, peer: Peer) -> None:
         former = self._id_by_address.get(peer.address)
         if former is not None:
             # A new run at the same address shows that the former has ended.
@@ -185,7 +184,7 @@
         self._peers[peer.beat.proxy] = peer
         self._id_by_address[peer.address] = peer.beat.proxy
         self._index(peer)
-        self._record_newest(peer, now)
+        self._record_newest(peer)
 
     def _remove(self, peer: Peer) -> None:
         proxy = peer.beat.proxy
@@ -213,18 +212,15 @@
             serving = self._serving.setdefault(opinion.key, {})
             serving[peer.beat.proxy] = peer
 
-    def _refresh(
-        self, peer: Peer, at: float, relayed: bool, now: float
-    ) -> None:
+    def _refresh(self, peer: Peer, at: float, relayed: bool) -> None:
         peer.sent_at = at
         peer.relayed = relayed
-        self._record_newest(peer, now)
+        self._record_newest(peer)
 
-    def _record_newest(self, peer: Peer, now: float) -> None:
+    def _record_newest(self, peer: Peer) -> None:
         domain = peer.beat.domain
-        if peer.sent_at > self._newest_sent_at.get(domain, float('-inf')):
-            self._newest_sent_at[domain] = peer.sent_at
-            self._newest_received_at[domain] = now
+        newest = self._newest_sent_at.get(domain, peer.sent_at)
+        self._newest_sent_at[domain] = max(newest, peer.sent_at)
 
     # Queries --------------------------------------------------------------
 
@@ -255,16 +251,12 @@
         ]
 
     def silent_domains(self, oldest: float) -> frozenset[str]:
-        """Return the domains without a newer heartbeat since ``oldest``.
+        """Return the domains without contact since ``oldest``."""
+        return self.contacts.silent(oldest)
 
-        The time of receipt counts, not that of sending: relayed heartbeats
-        are old on arrival, but a domain is not cut off while they arrive.
-        """
-        return frozenset(
-            name
-            for name, at in self._newest_received_at.items()
-            if at < oldest
-        )
+    def newest_heartbeats(self) -> dict[str, float]:
+        """Return when the newest heartbeat of each domain was sent."""
+        return dict(self._newest_sent_at)
 
     def has_heartbeat_since(self, proxy: str, at: float) -> bool:
         """Return whether a proxy sent a heartbeat after the time ``at``.
@@ -274,17 +266,9 @@
         peer = self._peers.get(proxy)
         return peer is None or peer.sent_at > at
 
-    def last_heartbeat_outside(self, domain: str) -> float | None:
-        """Return when a newer heartbeat of another domain last arrived.
-
-        None if none ever arrived. ``domain`` is the own failure domain.
-        """
-        newest = [
-            at
-            for name, at in self._newest_received_at.items()
-            if name != domain
-        ]
-        return max(newest, default=None)
+    def last_contact(self) -> float | None:
+        """Return when another domain was last in contact, None if never."""
+        return self.contacts.last_of_any()
 
     def address_of(self, proxy: str) -> _links.Address | None:
         """Return the address of a known or listed proxy, None if neither."""
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -147,6 +147,11 @@
         logging.INFO,
         "the share of a group's connections has changed",
     )
+    RELAYS_SILENT = (
+        1407,
+        logging.INFO,
+        'this proxy acts as a relay in place of silent ones',
+    )
     ENDPOINT_LEAVING = (1501, logging.INFO, 'endpoints are leaving')
     CONNECT_FAILED = (
         1502,
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -288,7 +288,10 @@
             now = self._adapters.clock.now()
             permitted = self._is_permitted(now)
             if self._isolation.observe(
-                self._peers.last_heartbeat_outside(), permitted, now
+                self._peers.last_contact(),
+                permitted,
+                now,
+                self._peers.relays_heard_at(),
             ):
                 self._on_isolation_changed(permitted)
             self._adapters.listener.close_on_refusal(
