--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -107,10 +107,11 @@
 from tidegrade.core.limits._quota import QuotaOwner
 from tidegrade.core.placing._capacity import largest_first
 from tidegrade.core.placing._capacity import thousandths
+from tidegrade.core.placing._contacts import Contacts
 from tidegrade.core.placing._homes import expected_homes
 from tidegrade.core.placing._homes import home_of_tenant
-from tidegrade.core.placing._homes import homes
 from tidegrade.core.placing._homes import Homes
+from tidegrade.core.placing._homes import homes
 from tidegrade.core.placing._homes import owner_of
 from tidegrade.core.placing._rendezvous import highest_ranked
 from tidegrade.core.placing._rendezvous import rank
@@ -140,6 +141,7 @@
     'ConfigRef',
     'ConnClosed',
     'ConnOpened',
+    'Contacts',
     'ControlEnded',
     'ControlRequested',
     'ControlsCancelled',
--- a/tests/daemon/test_roster.py
+++ b/tests/daemon/test_roster.py
@@ -60,7 +60,7 @@
             elif step[0] == 'same':
                 beat = _beat(step[1], 0)
                 roster.refresh_unchanged(
-                    beat.proxy, beat.revision(), now - step[2], now
+                    beat.proxy, beat.revision(), now - step[2]
                 )
             elif step[0] == 'list':
                 number, domain = step[1], f'd{step[2]}'
--- a/tests/peers/test_message_codec.py
+++ b/tests/peers/test_message_codec.py
@@ -49,9 +49,12 @@
         messages.QuotaGrant(core.Grant(True, 0.25, 0.5, 1234.5)),
         messages.QuotaGrant(core.Grant(False, 0.25, 0.5, reserved=True)),
         messages.QuotaBack('acme', 1234.5),
+        messages.Digest(
+            sender='p', contacts=(messages.DomainContact('b', 0.25),)
+        ),
     ],
 )
-def test_quota_messages_round_trip(body):
+def test_messages_round_trip(body):
     sent = codec.encode(messages.PeerMessage(body))
     assert codec.decode(sent).body == body
 
