Look for hung jobs only at endpoints that run one

Cause: at each tick of a group, the connections of each endpoint were listed four times to find polls and statements that hang, though an idle group mostly runs none.

Ruled out: looking only at every few ticks, which would find them later.

Change: without a job on any connection the search ends. Before, the result was the same in that case: no poll is outstanding. The benchmark gets the decisions at a tick.

--- a/bench/tidegrade_bench/_costs.py
+++ b/bench/tidegrade_bench/_costs.py
@@ -38,6 +38,8 @@
 #: Commands that are recorded in one repetition: fewer than the log writes at
 #: once within its limit.
 RECORDED = 390
+#: Time through which an idle group ticks in one repetition, in seconds.
+TICKED_S = 20
 #: Number of peers of a roster that is queried.
 PEERS = 60
 #: Number of starts that are measured.
@@ -209,9 +211,24 @@
     return values[1:]
 
 
+def _ticks() -> list[float]:
+    machine = _slopes.Idle(0)
+    values = []
+    for _ in range(REPEATS + 1):
+        began = time.process_time()
+        for _ in range(TICKED_S):
+            machine.second()
+        spent = time.process_time() - began
+        values.append(spent * 1e6 / TICKED_S / _slopes.TICKS_PER_S)
+    return values[1:]
+
+
 async def idle_cost() -> list[Cost]:
     """Measure proxies without callers: one alone, and three together."""
-    return [Cost(f'candidates of {PEERS} peers', 'us', _candidates())] + [
+    return [
+        Cost(f'candidates of {PEERS} peers', 'us', _candidates()),
+        Cost('decisions at a tick', 'us', _ticks()),
+    ] + [
         Cost(f'idle, proxies: {count}', '% of a core', values)
         for count in (1, 3)
         if (values := await _with_site(count, _idle))
--- a/bench/tidegrade_bench/_slopes.py
+++ b/bench/tidegrade_bench/_slopes.py
@@ -33,6 +33,8 @@
 CONNECTION_COUNTS = (0, 250, 500, 1000, 2000)
 GROUPS = (1, 4, 16, 64, 256)
 SITES = (10, 50, 200, 800)
+#: Ticks of a group with a request in progress.
+TICKS_PER_S = 50
 
 
 def least_cpu(work: Callable[[], object], times: int = 1) -> float:
@@ -111,8 +113,8 @@
 
     def second(self) -> None:
         """Let a second pass, with the ticks that the daemon makes."""
-        for _ in range(50):
-            self._now += 0.02
+        for _ in range(TICKS_PER_S):
+            self._now += 1 / TICKS_PER_S
             self._tell(core.Tick())
 
     def read(self) -> None:
--- a/src/tidegrade/core/_hung_polls.py
+++ b/src/tidegrade/core/_hung_polls.py
@@ -51,6 +51,9 @@
         Returns whether a poll of the endpoint is outstanding.
         """
         self._record_failure(name, now)
+        if all(conn.job is None for conn in self._state.pool.of(name)):
+            # Neither a poll nor a statement can hang.
+            return False
         self._close_overtaken(name, now)
         polls = self._outstanding(name)
         if not polls:
