--- a/src/tidegrade/daemon/_quotas.py
+++ b/src/tidegrade/daemon/_quotas.py
@@ -5,10 +5,12 @@
 and grants for the workspaces whose owner this proxy is.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 
 import anyio
+import attrs
 
 from tidegrade import core
 from tidegrade.daemon import _peers_task
@@ -24,6 +26,9 @@
 #: Time-out of a request to an owner, in seconds: many round trips, but short
 #: compared with the time that callers wait for an operation.
 OWNER_TIMEOUT_S = 0.15
+#: Time-out of a request that a former owner passes on, in seconds: shorter
+#: than that of the proxy that asked, which then still gets an answer.
+PASS_ON_LIMIT_S = 0.1
 #: Shortest time for which an owner that did not answer is skipped, in
 #: seconds. After it, the owner is skipped until a heartbeat arrives that it
 #: sent after the failure.
@@ -64,6 +69,7 @@
         now = clock.now()
         self._owner = core.QuotaOwner(now)
         self._ownership = core.Ownership(identity.proxy, now)
+        self._handovers = core.Handovers()
         self._update_due_at = now + UPDATE_INTERVAL_S
         self._domains: dict[str, str] = {}
         self._failed_at: dict[str, float] = {}
@@ -90,6 +96,7 @@
         self._update_due_at = now
         self._owner.paused(late)
         self._ownership.reset(now)
+        self._handovers.paused(now)
         logs.write(
             logs.LogEvent.QUOTA_OWNERSHIP_RESET, pause_ms=round(late * 1000)
         )
@@ -207,8 +214,17 @@
 
     # Requests of other proxies --------------------------------------------
 
-    def answer(self, question: messages.AskQuota) -> messages.QuotaGrant:
-        """Grant or refuse an operation that another proxy received."""
+    def answer(
+        self, question: messages.AskQuota
+    ) -> messages.QuotaGrant | Awaitable[messages.QuotaGrant | None]:
+        """Grant or refuse an operation that another proxy received.
+
+        A question for a quota that this proxy has handed over is passed on:
+        proxies that learn of the new owner later still ask this one.
+        """
+        owner = self._new_owner(question.tenant)
+        if owner and not question.passed_on:
+            return self._pass_on(owner, question)
         tenant = self._tenant_named(question.tenant)
         if tenant is None or question.config_version > self._version():
             tenant = tenants.Tenant(
@@ -223,6 +239,23 @@
             )
         )
 
+    def _new_owner(self, name: str) -> str:
+        """Return who owns a quota that was handed over; empty if none was."""
+        if not self._handovers.has_sent(name, self._clock.now()):
+            return ''
+        owner, *_ = core.quota_owners(name, self._domains, ())
+        return '' if owner == self._identity.proxy else owner
+
+    async def _pass_on(
+        self, owner: str, question: messages.AskQuota
+    ) -> messages.QuotaGrant | None:
+        """Ask the new owner; None if it does not answer."""
+        passed_on = attrs.evolve(question, passed_on=True)
+        asked = await self._peers.ask_within(owner, passed_on, PASS_ON_LIMIT_S)
+        if isinstance(asked.answer, messages.QuotaGrant):
+            return asked.answer
+        return None
+
     def take_back(self, body: messages.QuotaBack) -> None:
         """Take back an unused grant that this proxy gave as owner."""
         self._check_pause()
@@ -249,6 +282,9 @@
         now = self._clock.now()
         usual, *_ = core.quota_owners(tenant.name, self._domains, ())
         is_fallback = usual != self._identity.proxy
+        if is_fallback and self._handovers.has_sent(tenant.name, now):
+            # The new owner grants the full limit from its first request on.
+            return core.Grant(False, RETRY_AFTER_S, self._visible_part(''))
         grant = self._owner.grant(
             tenant,
             self._visible_part(instead_of),
@@ -262,6 +298,69 @@
             self._peers.send_to(usual, messages.QuotaTaken(tenant.name))
         return grant
 
+    # Handovers ------------------------------------------------------------
+
+    def take_over(self, body: messages.QuotaHandover) -> None:
+        """Take over a workspace's bucket from its previous owner.
+
+        It is kept for a moment, since this proxy may learn later than the
+        sender that it is the owner now. The membership is checked at once:
+        the sender passes requests on from now.
+        """
+        self._check_pause()
+        self._handovers.keep(body.handover, self._clock.now())
+        self.update_proxies()
+
+    def _accept_handovers(self) -> None:
+        now = self._clock.now()
+        known = 1 + self._peers.peer_count()
+        seen = core.visible_part(1 + len(self._peers.alive()), known)
+        if seen < core.EXCLUSIVE_PART:
+            return
+        for handover in self._handovers.kept(now):
+            tenant = self._tenant_named(handover.tenant)
+            if tenant is None:
+                continue
+            since = self._ownership.first_since(tenant.name, now)
+            if since is None:
+                continue
+            self._handovers.drop(tenant.name)
+            accepted = self._ownership.follows(
+                handover.sender, tenant.name
+            ) and self._owner.take_over(
+                tenant, handover.level, self._visible_part(''), since, now
+            )
+            logs.write_bounded(
+                logs.LogEvent.QUOTA_TAKEN_OVER,
+                tenant=tenant.name,
+                peer=handover.sender,
+                level=round(handover.level, 1),
+                accepted=accepted,
+            )
+
+    def _hand_over(self, released: list[tuple[str, float]]) -> None:
+        """Send the buckets that this proxy no longer owns to their owners.
+
+        An owner that hasn't sent a heartbeat yet may not be running.
+        """
+        now = self._clock.now()
+        if not self._handovers.may_send(self._owner.lowest_part(now), now):
+            return
+        alive = self._peers.alive_ids()
+        for name, level in released:
+            owner, *_ = core.quota_owners(name, self._domains, ())
+            if owner not in alive:
+                continue
+            self._handovers.record_sent(name, now)
+            handover = core.Handover(name, level, self._identity.proxy)
+            self._peers.send_to(owner, messages.QuotaHandover(handover))
+            logs.write_bounded(
+                logs.LogEvent.QUOTA_HANDED_OVER,
+                tenant=name,
+                peer=owner,
+                level=round(level, 1),
+            )
+
     def _first_since(
         self, name: str, is_fallback: bool, now: float
     ) -> float | None:
@@ -282,16 +381,19 @@
         }
         if not domains or not self._draining():
             domains[self._identity.proxy] = self._identity.domain
+        now = self._clock.now()
+        released: list[tuple[str, float]] = []
         if domains.keys() != self._domains.keys():
             self._domains = domains
             self._failed_at = {
                 p: at for p, at in self._failed_at.items() if p in domains
             }
-            self._owner.retain_only(self._owned_tenants())
-        now = self._clock.now()
+            released = self._owner.retain_only(self._owned_tenants(), now)
         self._update_due_at = now + UPDATE_INTERVAL_S
         self._ownership.update(domains, now, self._peers.has_vm_list)
+        self._hand_over(released)
         self._owner.observe(self._visible_part(''), now)
+        self._accept_handovers()
 
     def _owned_tenants(self) -> frozenset[str]:
         """Return the workspaces, of those with a bucket here, owned here."""
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -192,6 +192,7 @@
     ask.patience = body.patience
     ask.insteadOf = body.instead_of
     ask.priority = min(max(body.priority, 0), MAX_PRIORITY)
+    ask.passedOn = body.passed_on
 
 
 def _put_quota(wire: typing.Any, body: messages.QuotaGrant) -> None:
@@ -213,6 +214,15 @@
     wire.quotaTaken = body.tenant
 
 
+def _put_quota_handover(
+    wire: typing.Any, body: messages.QuotaHandover
+) -> None:
+    part = wire.init('quotaHandover')
+    part.tenant = body.handover.tenant
+    part.level = body.handover.level
+    part.sender = body.handover.sender
+
+
 def _put_probe(wire: typing.Any, body: messages.Probe) -> None:
     wire.probe = None
 
@@ -250,6 +260,7 @@
     messages.QuotaGrant: _put_quota,
     messages.QuotaBack: _put_quota_back,
     messages.QuotaTaken: _put_quota_taken,
+    messages.QuotaHandover: _put_quota_handover,
 }
 
 # Decoders -----------------------------------------------------------------
@@ -315,6 +326,15 @@
         ask.patience,
         ask.insteadOf,
         ask.priority,
+        ask.passedOn,
+    )
+
+
+def _quota_handover_of(part: typing.Any) -> messages.QuotaHandover:
+    if not math.isfinite(part.level):
+        raise ValueError('the level of a handover must be finite')
+    return messages.QuotaHandover(
+        core.Handover(part.tenant, part.level, part.sender)
     )
 
 
@@ -413,4 +433,5 @@
         w.quotaBack.tenant, w.quotaBack.at
     ),
     'quotaTaken': lambda w: messages.QuotaTaken(w.quotaTaken),
+    'quotaHandover': lambda w: _quota_handover_of(w.quotaHandover),
 }
--- a/src/tidegrade/peers/_messages.py
+++ b/src/tidegrade/peers/_messages.py
@@ -285,6 +285,8 @@
     seconds. If ``instead_of`` is set, the usual owner, in that failure
     domain, did not answer. ``priority`` is that of the operation's route; 0
     is the most urgent, and that of requests from older proxies.
+    ``passed_on`` means that a former owner sends it on for another proxy; it
+    is not passed on again.
     """
 
     tenant: str
@@ -294,6 +296,7 @@
     patience: float
     instead_of: str = ''
     priority: int = 0
+    passed_on: bool = False
 
 
 @attrs.frozen
@@ -321,6 +324,16 @@
     tenant: str
 
 
+@attrs.frozen
+class QuotaHandover:
+    """Hands the bucket of a tenant over to its next owner.
+
+    From then on the sender grants nothing of the tenant as an owner.
+    """
+
+    handover: core.Handover
+
+
 @attrs.frozen
 class Probe:
     """Checks whether the connection still works."""
@@ -352,6 +365,7 @@
     | QuotaGrant
     | QuotaBack
     | QuotaTaken
+    | QuotaHandover
 )
 
 #: Messages that relays forward to all other proxies on request.
--- a/src/tidegrade/session_proxy/_peer_service.py
+++ b/src/tidegrade/session_proxy/_peer_service.py
@@ -54,13 +54,14 @@
     def handle(self, body: messages.PeerBody) -> _server.Reply:
         """Handle a message and return its answer; None if it has none.
 
-        Only the answer to a forwarded request has to be awaited.
+        The answers to forwarded requests, and to quota requests that are
+        passed on to another proxy, have to be awaited.
         """
         if isinstance(body, messages.Forward):
             return self._serve(body)
         return self._dispatch(body)
 
-    def _dispatch(self, body: messages.PeerBody) -> messages.PeerBody | None:
+    def _dispatch(self, body: messages.PeerBody) -> _server.Reply:
         if isinstance(body, messages.Heartbeat):
             self._peers.receive_heartbeat(body)
         elif isinstance(body, messages.Digest):
@@ -83,6 +84,8 @@
             self._quotas.take_back(body)
         elif isinstance(body, messages.QuotaTaken):
             self._quotas.take_off(body)
+        elif isinstance(body, messages.QuotaHandover):
+            self._quotas.take_over(body)
         return None
 
     async def _serve(self, body: messages.Forward) -> messages.Forwarded:
--- a/tests/peers/test_message_codec.py
+++ b/tests/peers/test_message_codec.py
@@ -52,6 +52,7 @@
         messages.Digest(
             sender='p', contacts=(messages.DomainContact('b', 0.25),)
         ),
+        messages.QuotaHandover(core.Handover('acme', -1.5, 'vm-1.r')),
     ],
 )
 def test_messages_round_trip(body):
