Ignore old failures and short time limits when judging an endpoint

Cause: the time for which an endpoint has failed was the time from the first failure to the last one, however long ago. Two short resets a minute apart with no statement between them counted as a failure of a minute, and a home whose callers stayed away kept the opinion that the primary is down until a new term. Time-outs counted for statements that were sent just before their deadlines.

Ruled out: a breaker that stays open; the next statement was a trial.

Change: a row of failures begins anew after 10 s without one, and a failure counts as evidence for 10 s. A time-out counts if the statement had 0.1 s.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -130,7 +130,7 @@
         view = state.views[state.row.primary]
         if _detector.has_stepped_down(view, state.term_since):
             return True
-        if state.fails_work(state.row.primary):
+        if state.fails_work(state.row.primary, now):
             return True
         return _detector.is_down(view, state.cfg, now)
 
@@ -143,9 +143,9 @@
         sent = (conn.sent_at for conn in conns if conn.job is not None)
         return min(sent, default=None)
 
-    def fails_work(self, endpoint: str) -> bool:
+    def fails_work(self, endpoint: str, now: float) -> bool:
         """Return whether an endpoint fails all statements of callers."""
-        return self._state.fails_work(endpoint)
+        return self._state.fails_work(endpoint, now)
 
     def reachable(self, now: float) -> frozenset[str]:
         """Return the endpoints that can be reached, as far as known."""
@@ -271,7 +271,7 @@
         job, owner, sent_at = conn.job, conn.owner, conn.sent_at
         assert job is not None
         if isinstance(job, _jobs.CALLER_JOBS):
-            self._state.record_work(conn.endpoint, outcome, now)
+            self._state.record_work(conn.endpoint, outcome, sent_at, now)
         conn.job = None
         conn.owner = None
         if conn.state is _pool.ConnState.BUSY:
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -158,14 +158,18 @@
         """Return whether requests that need the primary can be served."""
         if not self.may_acknowledge(now):
             return False
-        return self.row is None or not self.fails_work(self.row.primary)
+        return self.row is None or not self.fails_work(self.row.primary, now)
 
-    def fails_work(self, name: str) -> bool:
+    def fails_work(self, name: str, now: float) -> bool:
         """Return whether an endpoint has failed all statements for long."""
-        return self.work_health[name].is_failing()
+        return self.work_health[name].is_failing(now)
 
     def record_work(
-        self, name: str, outcome: _jobs.JobOutcome, now: float
+        self,
+        name: str,
+        outcome: _jobs.JobOutcome,
+        sent_at: float,
+        now: float,
     ) -> None:
         """Record the outcome of a caller's statement at an endpoint."""
         health = self.work_health[name]
@@ -176,7 +180,7 @@
         if failure is _jobs.Failure.LOST:
             health.record_lost(now)
         elif failure is _jobs.Failure.TIMEOUT:
-            health.record_timeout(now)
+            health.record_timeout(sent_at, now)
         else:
             health.record_answer()
         if health.is_open != was_open:
--- a/src/tidegrade/core/health/_work.py
+++ b/src/tidegrade/core/health/_work.py
@@ -30,6 +30,15 @@
 #: that was refused comes back.
 MIN_TRIAL_INTERVAL_S = 0.1
 MAX_TRIAL_INTERVAL_S = 1.0
+#: Time after a failure, in seconds, for which it is evidence that the
+#: endpoint still fails: twice the longest time after which a refused caller
+#: retries. Without it, two short disturbances with no statement between them
+#: would count as one long failure.
+EVIDENCE_MAX_AGE_S = 10.0
+#: Shortest time that a statement must have had for its time-out to count, in
+#: seconds (chosen, not measured). A time-out after less says nothing of the
+#: endpoint: the request had used up its time limit before it was sent.
+MIN_TIMEOUT_S = 0.1
 
 
 @attrs.define
@@ -38,7 +47,8 @@
 
     ``failures`` and ``timeouts`` count since the last statement that the
     endpoint answered. ``first_failure_at`` is the time of the first of them,
-    ``last_failure_at`` that of the last.
+    or of the first after a gap of ``EVIDENCE_MAX_AGE_S``; ``last_failure_at``
+    is that of the last.
     """
 
     failures: int = 0
@@ -61,8 +71,10 @@
         self.failures += 1
         self._failed(now)
 
-    def record_timeout(self, now: float) -> None:
-        """Record that a statement was not answered in time."""
+    def record_timeout(self, sent_at: float, now: float) -> None:
+        """Record that a statement sent at ``sent_at`` was not answered."""
+        if now - sent_at < MIN_TIMEOUT_S:
+            return
         self.timeouts += 1
         self._failed(now)
 
@@ -85,15 +97,20 @@
         """Return whether a statement may be sent to the endpoint now."""
         return not self.is_open or now >= self.next_trial_at
 
-    def is_failing(self) -> bool:
+    def is_failing(self, now: float) -> bool:
         """Return whether the endpoint has failed all statements for long."""
-        if not self.is_open:
+        if not self.is_open or self._is_outdated(now):
             return False
         failing_for = self.last_failure_at - self.first_failure_at
         if self.failures >= MIN_FAILURES:
             return failing_for >= MIN_FAILING_S
         return failing_for >= MIN_HANGING_S
 
+    def _is_outdated(self, now: float) -> bool:
+        """Return whether the last failure is too old to be evidence."""
+        return now - self.last_failure_at >= EVIDENCE_MAX_AGE_S
+
     def _failed(self, now: float) -> None:
-        self.first_failure_at = min(self.first_failure_at, now)
+        if self._is_outdated(now):
+            self.first_failure_at = now
         self.last_failure_at = now
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -316,7 +316,9 @@
                 peers=peers,
                 leaving=frozenset(leaving),
                 failing=frozenset(
-                    filter(self.machine.fails_work, cfg.endpoints)
+                    name
+                    for name in cfg.endpoints
+                    if self.machine.fails_work(name, now)
                 ),
                 replicas_to_repair=self.machine.replicas_to_repair(now),
                 reachable=self.machine.reachable(now),
@@ -376,7 +378,7 @@
             failures=view.failures,
             refused=view.refused,
             follows=view.report is not None and view.report.in_recovery,
-            fails_work=self.machine.fails_work(row.primary),
+            fails_work=self.machine.fails_work(row.primary, now),
             silent_ms=_ms_since(view.last_answer_at, now),
             connections=self.machine.conn_count(row.primary),
             unanswered_ms=_ms_since(
