Leave pauses and abandoned statements out of the failures of an endpoint

Cause: views of endpoints are reset after a pause of the process, the failures of statements were not: three lost before and one after a pause of 2 s made the primary count as down. Writes abandoned at a new term counted as lost before the failures were cleared, which logged event 1505 for the former primary and never 1506.

Ruled out: clearing the failures after a pause; slow VMs pause often, and a failing primary would go unnoticed.

Change: the time of a pause is left out of a row of failures. Outcomes are recorded where a job ends, is lost or is overdue, not where it is abandoned.

Before: the two new tests fail. After: tests/core/test_work_health.py passes.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -254,6 +254,7 @@
                 view.record_failure(event.refused, now)
         if conn.job is not None:
             lost = _jobs.JobFailed(_jobs.Failure.LOST)
+            self._record_work(conn, lost, now)
             self._finish_job(conn, lost, now)
         self._txns.conn_lost(conn)
         self._state.pool.closed(conn, now)
@@ -263,15 +264,22 @@
         if conn is None or conn.job is None:
             # The job was abandoned before its outcome arrived.
             return
+        self._record_work(conn, event.outcome, now)
         self._finish_job(conn, event.outcome, now)
 
+    def _record_work(
+        self, conn: _pool.Conn, outcome: _jobs.JobOutcome, now: float
+    ) -> None:
+        """Record the outcome of a job that was not abandoned."""
+        if isinstance(conn.job, _jobs.CALLER_JOBS):
+            state = self._state
+            state.record_work(conn.endpoint, outcome, conn.sent_at, now)
+
     def _finish_job(
         self, conn: _pool.Conn, outcome: _jobs.JobOutcome, now: float
     ) -> None:
         job, owner, sent_at = conn.job, conn.owner, conn.sent_at
         assert job is not None
-        if isinstance(job, _jobs.CALLER_JOBS):
-            self._state.record_work(conn.endpoint, outcome, sent_at, now)
         conn.job = None
         conn.owner = None
         if conn.state is _pool.ConnState.BUSY:
@@ -367,7 +375,7 @@
         self._state.permission.start_term(row.term, rules)
         self._state.samples.clear()
         self._abandon_other_endpoints(row.primary, now)
-        # Abandoned statements say nothing of their endpoints.
+        # Failures of the former term say nothing of the endpoints' new roles.
         self._state.work_health.clear()
         self._txns.end_off_primary(row.primary, now)
         for pending in self._confirmations.take_before(row.term):
@@ -437,6 +445,8 @@
         self, event: _events.ProcessPaused, now: float
     ) -> None:
         self._reset_failure_detection(now)
+        for health in self._state.work_health.values():
+            health.record_pause(event.seconds)
         self._state.recovery.reset_outage(now)
         if event.seconds > _state.MAX_TRUSTED_PAUSE_S:
             self._state.paused_at = now
@@ -506,6 +516,7 @@
         for conn in self._state.pool:
             if conn.job is not None and conn.deadline <= now:
                 late = _jobs.JobFailed(_jobs.Failure.TIMEOUT)
+                self._record_work(conn, late, now)
                 self._finish_job(conn, late, now)
 
     def _close_spare_conns(self, now: float) -> None:
--- a/src/tidegrade/core/health/_work.py
+++ b/src/tidegrade/core/health/_work.py
@@ -88,6 +88,11 @@
             doubled = 2 * self.trial_interval
             self.trial_interval = min(doubled, MAX_TRIAL_INTERVAL_S)
 
+    def record_pause(self, seconds: float) -> None:
+        """Leave out a pause of this process, in which it sent nothing."""
+        self.first_failure_at += seconds
+        self.last_failure_at += seconds
+
     @property
     def is_open(self) -> bool:
         """Whether the endpoint gets trial statements only."""
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -81,6 +81,8 @@
         self.closed: set[int] = set()
         #: A supervisor's jobs that have ended.
         self.ended: list[core.ControlEnded] = []
+        #: Endpoints whose circuit breakers have opened or closed.
+        self.health_changes: list[core.WorkHealthChanged] = []
         self.tell(core.Registered(True))
         self.tell(core.RowReceived(ROW))
         for _ in range(3):
@@ -129,6 +131,8 @@
             return [core.JobEnded(command.conn, done)]
         if isinstance(command, core.ControlEnded):
             self.ended.append(command)
+        if isinstance(command, core.WorkHealthChanged):
+            self.health_changes.append(command)
         if isinstance(command, core.Reply):
             assert command.req_id not in self.answers
             self.answers[command.req_id] = command.answer
--- a/tests/core/test_work_health.py
+++ b/tests/core/test_work_health.py
@@ -149,6 +149,38 @@
     assert machine.answers[next_id].outcome is core.Outcome.DONE
 
 
+def test_a_pause_of_the_process_does_not_replace_the_primary(machine):
+    """Statements lost before and after a pause are no long failure."""
+    machine.gray['a'] = RESET
+    for number in range(1, 4):
+        write(machine, number)
+    machine.now += 2.0
+    machine.tell(core.ProcessPaused(2.0))
+    machine.tell(core.RowReceived(machines.ROW, machine.now))
+    machine.tick()
+    machine.tick()
+    before = statements_at(machine, 'a')
+    write(machine, 10)
+    assert statements_at(machine, 'a') > before
+    assert not machine.core.considers_primary_down(machine.now)
+
+
+def test_a_new_term_reports_no_failing_endpoint():
+    """Writes that are abandoned at a new term say nothing of an endpoint.
+
+    Three of them made the log state that the former primary failed.
+    """
+    machine = machines.Machine(max_connections=8)
+    machine.frozen.add('a')
+    for number in range(1, 30):
+        write(machine, number)
+        machine.tick(0.01)
+    running = machine.running.values()
+    assert sum(isinstance(job, machines.STATEMENTS) for job in running) >= 3
+    machine.new_term()
+    assert machine.health_changes == []
+
+
 def test_statements_without_time_do_not_replace_the_primary(machine):
     """Requests near their deadlines time out at any endpoint."""
     machine.frozen.add('a')
