--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -133,22 +133,22 @@
 }
 
 struct QuotaAsk {
-  # Asks the keeper of a tenant's quota to admit an operation.
+  # Asks the owner of a tenant's quota to admit an operation.
   tenant @0 :Text;
   rate @1 :Float64;       # operations a second, as the sender knows it
   burst @2 :Float64;
   configVersion @3 :UInt64;
   patience @4 :Float64;   # seconds that the operation can wait
-  insteadOf @5 :Text;     # domain of the usual keeper, which did not answer
+  insteadOf @5 :Text;     # domain of the usual owner, which did not answer
   priority @6 :UInt8;     # of the operation; 0 is the most urgent
 }
 
 struct QuotaGrant {
   granted @0 :Bool;
   wait @1 :Float64;       # seconds
-  part @2 :Float32;       # share of all proxies that the keeper sees,
+  part @2 :Float32;       # share of all proxies that the owner sees,
                           # and of the limit that it grants
-  at @3 :Float64;         # when it counts, in seconds of the keeper's clock
+  at @3 :Float64;         # when it counts, in seconds of the owner's clock
   reserved @4 :Bool;      # refused to keep a reserve for urgent operations
 }
 
