Send announcements to acting relays too

Cause: since relays may be replaced before they count as dead, heartbeats go to the usual and the acting relays, but announcements (rows, lists of endpoints, bounds of terms) still went to the usual ones only. With both failed, or one failed and the other the sender, the sender's domain got none for up to 2.6 s.

Ruled out: pass_on; a receiver forwards whether or not it is a relay.

Change: announce() sends to both, as send() does.

Before: both cases of the new test fail. After: tests/daemon/test_gossip.py and test_domain_contacts.py pass.

--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -247,7 +247,8 @@
             return
         to_relay = attrs.evolve(body, pass_on=True)
         self._send_to_other_domains(to_relay)
-        for proxy in self.relays(self._identity.domain):
+        own_relays = self.relays(self._identity.domain)
+        for proxy in {*own_relays, *self._acting_relays}:
             self._post(proxy, to_relay)
 
     def pass_on(self, body: messages.Announcement) -> None:
--- a/tests/daemon/test_gossip.py
+++ b/tests/daemon/test_gossip.py
@@ -40,6 +40,7 @@
     roster: _roster.Roster
     gossip: _gossip.Gossip
     up: bool = True
+    announced: list[messages.PeerBody] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -91,6 +92,10 @@
         body = codec.decode(codec.encode(messages.PeerMessage(body))).body
         if isinstance(body, messages.Digest):
             to.gossip.receive_digest(body)
+        elif isinstance(body, messages.RowNews):
+            to.announced.append(body)
+            if body.pass_on:
+                to.gossip.pass_on(body)
         else:
             to.gossip.receive_heartbeat(body)
         return True
@@ -210,6 +215,29 @@
     assert net.all_know_each_other()
 
 
+@pytest.mark.parametrize('sender_is_relay', [False, True])
+def test_an_announcement_does_not_depend_on_failed_relays(
+    net, sender_is_relay
+):
+    """Failed relays count as alive for 2.6 s, but others act in their place.
+
+    Announcements were sent to the failed ones only.
+    """
+    relays = net.proxies['p0'].gossip.relays('a')
+    sender = relays[0] if sender_is_relay else 'p0'
+    assert sender_is_relay or sender not in relays
+    for relay in relays:
+        net.proxies[relay].up = relay == sender
+    net.run(1.5)
+    net.proxies[sender].gossip.announce(messages.RowNews(KEY, b'{}'))
+    members = [
+        proxy
+        for name, proxy in net.proxies.items()
+        if proxy.beat.domain == 'a' and proxy.up and name != sender
+    ]
+    assert all(proxy.announced for proxy in members)
+
+
 def test_a_domain_rejoins_after_a_partition(net):
     net.cut = 'a'
     net.run(8)
