Replace one primary at most for statements that are slow

Cause: a time-out counts as a failure of the endpoint, and failures are cleared by a new term. If all statements of a home take longer than their time limits, its primary counts as down after 1.5 s, and so does each successor: a change of primary every few seconds, each without writes.

Ruled out: overload; the breaker leaves one statement at a time, which is answered if the queue was the cause. The first change stays: a home can't tell slow statements from an endpoint that hangs.

Change: if statements timed out at the primary as its term ended, time-outs count at the next one only after it has answered a statement. Lost connections count as before.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -358,6 +358,7 @@
             state.row_confirmed(event.asked_at)
         if state.row is not None and not is_newer(event.row, state.row):
             return
+        state.note_hanging_primary(now)
         former, state.row = state.row, event.row
         if event.row.attempt is None:
             state.recovery.change_ended(now)
@@ -375,8 +376,7 @@
         self._state.permission.start_term(row.term, rules)
         self._state.samples.clear()
         self._abandon_other_endpoints(row.primary, now)
-        # Failures of the former term say nothing of the endpoints' new roles.
-        self._state.work_health.clear()
+        self._state.reset_work_health(row.primary)
         self._txns.end_off_primary(row.primary, now)
         for pending in self._confirmations.take_before(row.term):
             retry = self._writes.handle_unknown_outcome(
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -78,6 +78,8 @@
     work_health: collections.defaultdict[str, _work.WorkHealth] = attrs.field(
         factory=lambda: collections.defaultdict(_work.WorkHealth)
     )
+    #: Whether statements timed out at the primary as its term began to end.
+    primary_hung: bool = False
     commands: list[_events.Command] = attrs.field(factory=list)
 
     @classmethod
@@ -186,6 +188,25 @@
         if health.is_open != was_open:
             self.emit(_events.WorkHealthChanged(name, health.is_open))
 
+    def note_hanging_primary(self, now: float) -> None:
+        """Record whether the primary hangs, before a newer row is taken."""
+        if self.row is None:
+            return
+        health = self.work_health[self.row.primary]
+        if health.is_hanging(now) or health.must_answer:
+            self.primary_hung = True
+
+    def reset_work_health(self, primary: str) -> None:
+        """Begin a term: former failures do not count in the new roles.
+
+        If statements timed out at the former primary, the new one must answer
+        one before time-outs count again. Otherwise a caller whose statements
+        take longer than its time limit has one primary replaced after another.
+        """
+        self.work_health.clear()
+        self.work_health[primary].must_answer = self.primary_hung
+        self.primary_hung = False
+
     def row_confirmed(self, asked_at: float) -> None:
         """Record that the row was current at ``asked_at``.
 
--- a/src/tidegrade/core/health/_work.py
+++ b/src/tidegrade/core/health/_work.py
@@ -48,7 +48,9 @@
     ``failures`` and ``timeouts`` count since the last statement that the
     endpoint answered. ``first_failure_at`` is the time of the first of them,
     or of the first after a gap of ``EVIDENCE_MAX_AGE_S``; ``last_failure_at``
-    is that of the last.
+    is that of the last. With ``must_answer`` time-outs do not make the
+    endpoint count as failing before it has answered a statement: those of the
+    former primary timed out too, so the statements may be slow.
     """
 
     failures: int = 0
@@ -57,10 +59,12 @@
     last_failure_at: float = float('-inf')
     trial_interval: float = MIN_TRIAL_INTERVAL_S
     next_trial_at: float = float('-inf')
+    must_answer: bool = False
 
     def record_answer(self) -> None:
         """Record that the endpoint answered a statement, also if refused."""
         self.failures = self.timeouts = 0
+        self.must_answer = False
         self.first_failure_at = float('inf')
         self.last_failure_at = float('-inf')
         self.trial_interval = MIN_TRIAL_INTERVAL_S
@@ -104,12 +108,20 @@
 
     def is_failing(self, now: float) -> bool:
         """Return whether the endpoint has failed all statements for long."""
-        if not self.is_open or self._is_outdated(now):
+        if self.failures < MIN_FAILURES:
+            return self.is_hanging(now) and not self.must_answer
+        return self._fails_for(MIN_FAILING_S, now)
+
+    def is_hanging(self, now: float) -> bool:
+        """Return whether statements have timed out for long."""
+        if self.failures >= MIN_FAILURES or not self.is_open:
+            return False
+        return self._fails_for(MIN_HANGING_S, now)
+
+    def _fails_for(self, seconds: float, now: float) -> bool:
+        if self._is_outdated(now):
             return False
-        failing_for = self.last_failure_at - self.first_failure_at
-        if self.failures >= MIN_FAILURES:
-            return failing_for >= MIN_FAILING_S
-        return failing_for >= MIN_HANGING_S
+        return self.last_failure_at - self.first_failure_at >= seconds
 
     def _is_outdated(self, now: float) -> bool:
         """Return whether the last failure is too old to be evidence."""
