Count a failure as an answer where the endpoint is known to have answered

Cause: the outcome LOST also stands for two answers of a healthy PostgreSQL endpoint: a statement that ended its transaction, and an idempotency key whose first request has rolled back. A caller that sent only such statements for 0.6 s made the primary count as down, and each successor.

Ruled out: the instance adapter; its unknown error codes count as LOST as before, since nothing shows that the endpoint ran the statement.

Change: JobFailed.answered says that the endpoint answered; it and usable make a failure count as an answer.

Before: the two new cases of the test fail. After: they pass.

--- a/src/tidegrade/adapters/_postgres.py
+++ b/src/tidegrade/adapters/_postgres.py
@@ -254,7 +254,7 @@
             pq.TransactionStatus.INTRANS
         ):
             detail = 'a statement ended the transaction'
-            return core.JobFailed(core.Failure.LOST, detail)
+            return core.JobFailed(core.Failure.LOST, detail, answered=True)
         results = await self._results(cursors)
         if self._over_limit(results):
             return await self._too_large()
--- a/src/tidegrade/core/_jobs.py
+++ b/src/tidegrade/core/_jobs.py
@@ -203,8 +203,10 @@
 class JobFailed:
     """The outcome of a job that failed.
 
-    ``usable`` says whether the connection may be used again. A refusal may
-    carry a report, as every other answer does.
+    ``usable`` says whether the connection may be used again, ``answered``
+    whether the endpoint is known to have answered the job although the
+    connection is given up. A refusal may carry a report, as every other
+    answer does.
     """
 
     failure: Failure
@@ -212,6 +214,7 @@
     sqlstate: str = ''
     usable: bool = False
     report: _types.EndpointReport | None = None
+    answered: bool = False
 
 
 JobOutcome = JobDone | JobFailed
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -177,7 +177,9 @@
         health = self.work_health[name]
         was_open = health.is_open
         failure = None
-        if isinstance(outcome, _jobs.JobFailed):
+        if isinstance(outcome, _jobs.JobFailed) and not (
+            outcome.usable or outcome.answered
+        ):
             failure = outcome.failure
         if failure is _jobs.Failure.LOST:
             health.record_lost(now)
--- a/tests/core/test_work_health.py
+++ b/tests/core/test_work_health.py
@@ -105,9 +105,19 @@
     assert machine.answers[12].outcome is core.Outcome.DONE
 
 
-def test_statements_that_fail_by_themselves_count_as_answers(machine):
+@pytest.mark.parametrize(
+    'failed',
+    [
+        core.JobFailed(core.Failure.STATEMENT, usable=True),
+        # An idempotency key whose request has rolled back meanwhile.
+        core.JobFailed(core.Failure.LOST, usable=True),
+        # A statement that ended its transaction.
+        core.JobFailed(core.Failure.LOST, answered=True),
+    ],
+)
+def test_statements_that_fail_by_themselves_count_as_answers(machine, failed):
     """A caller with a wrong statement must not replace the primary."""
-    machine.gray['a'] = core.JobFailed(core.Failure.STATEMENT, usable=True)
+    machine.gray['a'] = failed
     load(machine, 3.0, 1)
     assert not machine.core.considers_primary_down(machine.now)
 
