Don't take the start of an empty transaction for an answered statement

Cause: an endpoint that fails statements may answer BEGIN. Each answer closed the breaker and cleared the failures, so a group whose callers also begin transactions kept a primary that fails all statements.

Ruled out: transactions of line callers; their first statement starts them.

Change: an answered start without statements is not recorded. Its first statement is. The test machine's gray endpoints answer such starts; no other test sends one to them.

Before: the new test fails. After: tests/core/test_work_health.py passes.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -270,8 +270,15 @@
     def _record_work(
         self, conn: _pool.Conn, outcome: _jobs.JobOutcome, now: float
     ) -> None:
-        """Record the outcome of a job that was not abandoned."""
-        if isinstance(conn.job, _jobs.CALLER_JOBS):
+        """Record the outcome of a job that was not abandoned.
+
+        An endpoint that fails statements may still begin transactions.
+        """
+        done = isinstance(outcome, _jobs.JobDone)
+        job = conn.job
+        if done and isinstance(job, _jobs.StartJob) and not job.statements:
+            return
+        if isinstance(job, _jobs.CALLER_JOBS):
             state = self._state
             state.record_work(conn.endpoint, outcome, conn.sent_at, now)
 
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -29,6 +29,13 @@
     return core.EndpointReport(**fields)
 
 
+def _runs_statements(job: core.Job) -> bool:
+    """Return whether a job does more than to begin a transaction."""
+    if isinstance(job, core.StartJob) and not job.statements:
+        return False
+    return isinstance(job, STATEMENTS)
+
+
 class Machine:
     """A group machine with connections whose answers a test controls."""
 
@@ -121,7 +128,7 @@
                 return []
             if name in self.failures:
                 return [core.JobEnded(command.conn, self.failures[name])]
-            if name in self.gray and isinstance(command.job, STATEMENTS):
+            if name in self.gray and _runs_statements(command.job):
                 return [core.JobEnded(command.conn, self.gray[name])]
             if name in self.failing and isinstance(command.job, core.ReadJob):
                 failed = core.JobFailed(core.Failure.STATEMENT, usable=True)
--- a/tests/core/test_work_health.py
+++ b/tests/core/test_work_health.py
@@ -63,6 +63,38 @@
     assert machine.core.considers_primary_down(machine.now)
 
 
+def test_an_empty_transaction_is_no_sign_of_a_working_primary():
+    """The start of one closed the breaker, and the primary stayed."""
+    machine = machines.Machine(max_connections=6)
+    machine.gray['a'] = RESET
+    started = 0
+    for number in range(1, 60):
+        write(machine, 2 * number)
+        machine.tick(0.03)
+        req = core.Request(
+            id=2 * number + 1,
+            tenant='t',
+            kind=core.Kind.BEGIN,
+            deadline=machine.now + LIMIT_S,
+            statements=(),
+        )
+        machine.tell(core.RequestArrived(req))
+        machine.tick(0.03)
+        answer = machine.answers.get(req.id)
+        if answer is not None and answer.outcome is core.Outcome.DONE:
+            started += 1
+            end = core.Request(
+                id=1000 + number,
+                tenant='t',
+                kind=core.Kind.ROLLBACK,
+                deadline=machine.now + LIMIT_S,
+                txn=answer.txn,
+            )
+            machine.tell(core.RequestArrived(end))
+    assert started
+    assert machine.core.considers_primary_down(machine.now)
+
+
 def test_a_failing_primary_gets_few_statements(machine):
     """Retries opened a connection each and starved the polls."""
     machine.gray['a'] = RESET
