--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -130,7 +130,7 @@
         view = state.views[state.row.primary]
         if _detector.has_stepped_down(view, state.term_since):
             return True
-        if state.fails_work(state.row.primary):
+        if state.fails_work(state.row.primary, now):
             return True
         return _detector.is_down(view, state.cfg, now)
 
@@ -143,9 +143,9 @@
         sent = (conn.sent_at for conn in conns if conn.job is not None)
         return min(sent, default=None)
 
-    def fails_work(self, endpoint: str) -> bool:
+    def fails_work(self, endpoint: str, now: float) -> bool:
         """Return whether an endpoint fails all statements of callers."""
-        return self._state.fails_work(endpoint)
+        return self._state.fails_work(endpoint, now)
 
     def reachable(self, now: float) -> frozenset[str]:
         """Return the endpoints that can be reached, as far as known."""
@@ -254,6 +254,7 @@
                 view.record_failure(event.refused, now)
         if conn.job is not None:
             lost = _jobs.JobFailed(_jobs.Failure.LOST)
+            self._record_work(conn, lost, now)
             self._finish_job(conn, lost, now)
         self._txns.conn_lost(conn)
         self._state.pool.closed(conn, now)
@@ -263,15 +264,29 @@
         if conn is None or conn.job is None:
             # The job was abandoned before its outcome arrived.
             return
+        self._record_work(conn, event.outcome, now)
         self._finish_job(conn, event.outcome, now)
 
+    def _record_work(
+        self, conn: _pool.Conn, outcome: _jobs.JobOutcome, now: float
+    ) -> None:
+        """Record the outcome of a job that was not abandoned.
+
+        An endpoint that fails statements may still begin transactions.
+        """
+        done = isinstance(outcome, _jobs.JobDone)
+        job = conn.job
+        if done and isinstance(job, _jobs.StartJob) and not job.statements:
+            return
+        if isinstance(job, _jobs.CALLER_JOBS):
+            state = self._state
+            state.record_work(conn.endpoint, outcome, conn.sent_at, now)
+
     def _finish_job(
         self, conn: _pool.Conn, outcome: _jobs.JobOutcome, now: float
     ) -> None:
         job, owner, sent_at = conn.job, conn.owner, conn.sent_at
         assert job is not None
-        if isinstance(job, _jobs.CALLER_JOBS):
-            self._state.record_work(conn.endpoint, outcome, now)
         conn.job = None
         conn.owner = None
         if conn.state is _pool.ConnState.BUSY:
@@ -350,6 +365,7 @@
             state.row_confirmed(event.asked_at)
         if state.row is not None and not is_newer(event.row, state.row):
             return
+        state.note_hanging_primary(now)
         former, state.row = state.row, event.row
         if event.row.attempt is None:
             state.recovery.change_ended(now)
@@ -367,8 +383,7 @@
         self._state.permission.start_term(row.term, rules)
         self._state.samples.clear()
         self._abandon_other_endpoints(row.primary, now)
-        # Abandoned statements say nothing of their endpoints.
-        self._state.work_health.clear()
+        self._state.reset_work_health(row.primary)
         self._txns.end_off_primary(row.primary, now)
         for pending in self._confirmations.take_before(row.term):
             retry = self._writes.handle_unknown_outcome(
@@ -437,6 +452,8 @@
         self, event: _events.ProcessPaused, now: float
     ) -> None:
         self._reset_failure_detection(now)
+        for health in self._state.work_health.values():
+            health.record_pause(event.seconds)
         self._state.recovery.reset_outage(now)
         if event.seconds > _state.MAX_TRUSTED_PAUSE_S:
             self._state.paused_at = now
@@ -506,6 +523,7 @@
         for conn in self._state.pool:
             if conn.job is not None and conn.deadline <= now:
                 late = _jobs.JobFailed(_jobs.Failure.TIMEOUT)
+                self._record_work(conn, late, now)
                 self._finish_job(conn, late, now)
 
     def _close_spare_conns(self, now: float) -> None:
