Limit statements in flight at an endpoint by its responses

Cause: each home limits its own connections only. 24 homes with three connections each overfill an endpoint of 4 slots and 32 queue places, which refuses the rest as busy; its queue can't be reordered by urgency.

Ruled out: one unloaded time for all statements, as long ones would shrink the limit; it is kept by job and priority.

Reads pass over a replica with a full window, and no connection is opened that it would leave unused.

--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -38,6 +38,7 @@
 from tidegrade.core._events import RowReceived
 from tidegrade.core._events import RunJob
 from tidegrade.core._events import Tick
+from tidegrade.core._events import WindowChanged
 from tidegrade.core._events import WorkHealthChanged
 from tidegrade.core._evidence import Evidence
 from tidegrade.core._evidence import MemberGrant
@@ -209,6 +210,7 @@
     'Tick',
     'Trace',
     'Traits',
+    'WindowChanged',
     'WorkHealthChanged',
     'WriteJob',
     'expected_homes',
--- a/src/tidegrade/core/_dispatch.py
+++ b/src/tidegrade/core/_dispatch.py
@@ -101,10 +101,13 @@
         """Return how many connections serve the queue of a request."""
         row = self._state.row
         primary = row.primary if row is not None else ''
-        held = len(self._state.pool.of(primary))
-        if self._queue_of(pending) is self._primary:
-            return held
-        return sum(1 for _ in self._state.pool) - held
+        names = [primary]
+        if self._queue_of(pending) is not self._primary:
+            names = [n for n in self._state.pool.endpoints() if n != primary]
+        return sum(
+            self._state.width_of(name, len(self._state.pool.of(name)))
+            for name in names
+        )
 
     def _queue_of(
         self, pending: _pending.Pending
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -176,4 +176,8 @@
     def width(self) -> int:
         """Return the number of connections that may serve this group."""
         names = self._state.cfg.endpoints
-        return sum(self._state.pool.share(name).limit for name in names)
+        state = self._state
+        return sum(
+            state.width_of(name, state.pool.share(name).limit)
+            for name in names
+        )
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -38,12 +38,17 @@
         domains: dict[str, str] | None = None,
         max_connections: int = 2,
         max_proxies: int = 1,
+        slots: int = 3,
     ) -> None:
         domain_of = domains or {}
         cfg = config.Group(
             endpoints={
                 name: config.Endpoint(
-                    name, 1, domain_of.get(name, 'x'), max_connections
+                    name,
+                    1,
+                    domain_of.get(name, 'x'),
+                    max_connections,
+                    slots=slots,
                 )
                 for name in NAMES
             },
