Refuse the least urgent request when a queue is full

Cause: with a full queue, the request that arrived last was refused, however urgent, while requests waited that were late or less urgent.

Ruled out: refusing waiting requests before the queue is full. Late ones go last already and don't count as ahead of a new one.

Change: a new request takes the place of the one that would be served last, if that is late or less urgent and was never sent.

Before: the test's urgent request is refused. After: the newest of the least urgent ones is.

--- a/src/tidegrade/core/_dispatch.py
+++ b/src/tidegrade/core/_dispatch.py
@@ -50,7 +50,8 @@
         wait = self._registry.service.wait_for(ahead, self._width(pending))
         limit = min(pending.req.deadline, pending.req.place_by)
         late = ahead > 0 and now + wait >= limit
-        if late or self.waiting >= self._state.cfg.queue_limit:
+        full = self.waiting >= self._state.cfg.queue_limit
+        if late or (full and not self._make_room(pending, now)):
             self._registry.refuse(pending, _types.Code.OVERLOADED, ahead=ahead)
             return
         self._queue_of(pending).push(pending.req.queue_key, pending)
@@ -85,6 +86,36 @@
         times = (pending.not_before for pending in self._parked)
         return min(times, default=float('inf'))
 
+    def _make_room(self, pending: _pending.Pending, now: float) -> bool:
+        """Refuse the request that would be served last, if it is worse.
+
+        It is late or less urgent than the new request, and was never sent.
+        """
+        unsent = (
+            other
+            for queue in (self._reads, self._primary)
+            for other in queue
+            if not other.tries
+        )
+        last = max(
+            unsent,
+            key=lambda other: self._rank(other, now).within_tenant,
+            default=None,
+        )
+        if last is None:
+            return False
+        own = self._rank(pending, now).across_tenants
+        if self._rank(last, now).across_tenants <= own:
+            return False
+        self.discard(last)
+        self._registry.refuse(
+            last,
+            _types.Code.OVERLOADED,
+            'a more urgent request took its place in a full queue',
+            ahead=self.waiting,
+        )
+        return True
+
     def _rank(self, pending: _pending.Pending, now: float) -> _order.Rank:
         service = self._registry.service.mean
         return _order.rank_of(pending, service, now)
