Test that a changed limit is reported

Change: a test of the command after refused statements.

Before: not tested. After: the limit goes from 2 to 1 and is reported.

--- a/tests/core/test_window.py
+++ b/tests/core/test_window.py
@@ -213,3 +213,12 @@
     for _ in range(25):
         home.tick()
     assert home.answers[2].outcome is core.Outcome.DONE
+
+
+def test_a_changed_limit_is_reported_for_the_log():
+    home = home_of(6)
+    home.failures = {'a': core.JobFailed(core.Failure.BUSY, usable=True)}
+    home.read(1, max_age=0.0)
+    commands = home.core.handle(core.Tick(), home.now + 0.02)
+    changes = [c for c in commands if isinstance(c, core.WindowChanged)]
+    assert [(c.change.before, c.change.limit) for c in changes] == [(2, 1)]
