--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -78,6 +78,8 @@
     work_health: collections.defaultdict[str, _work.WorkHealth] = attrs.field(
         factory=lambda: collections.defaultdict(_work.WorkHealth)
     )
+    #: Whether statements timed out at the primary as its term began to end.
+    primary_hung: bool = False
     commands: list[_events.Command] = attrs.field(factory=list)
 
     @classmethod
@@ -158,30 +160,55 @@
         """Return whether requests that need the primary can be served."""
         if not self.may_acknowledge(now):
             return False
-        return self.row is None or not self.fails_work(self.row.primary)
+        return self.row is None or not self.fails_work(self.row.primary, now)
 
-    def fails_work(self, name: str) -> bool:
+    def fails_work(self, name: str, now: float) -> bool:
         """Return whether an endpoint has failed all statements for long."""
-        return self.work_health[name].is_failing()
+        return self.work_health[name].is_failing(now)
 
     def record_work(
-        self, name: str, outcome: _jobs.JobOutcome, now: float
+        self,
+        name: str,
+        outcome: _jobs.JobOutcome,
+        sent_at: float,
+        now: float,
     ) -> None:
         """Record the outcome of a caller's statement at an endpoint."""
         health = self.work_health[name]
         was_open = health.is_open
         failure = None
-        if isinstance(outcome, _jobs.JobFailed):
+        if isinstance(outcome, _jobs.JobFailed) and not (
+            outcome.usable or outcome.answered
+        ):
             failure = outcome.failure
         if failure is _jobs.Failure.LOST:
             health.record_lost(now)
         elif failure is _jobs.Failure.TIMEOUT:
-            health.record_timeout(now)
+            health.record_timeout(sent_at, now)
         else:
             health.record_answer()
         if health.is_open != was_open:
             self.emit(_events.WorkHealthChanged(name, health.is_open))
 
+    def note_hanging_primary(self, now: float) -> None:
+        """Record whether the primary hangs, before a newer row is taken."""
+        if self.row is None:
+            return
+        health = self.work_health[self.row.primary]
+        if health.is_hanging(now) or health.must_answer:
+            self.primary_hung = True
+
+    def reset_work_health(self, primary: str) -> None:
+        """Begin a term: former failures do not count in the new roles.
+
+        If statements timed out at the former primary, the new one must answer
+        one before time-outs count again. Otherwise a caller whose statements
+        take longer than its time limit has one primary replaced after another.
+        """
+        self.work_health.clear()
+        self.work_health[primary].must_answer = self.primary_hung
+        self.primary_hung = False
+
     def row_confirmed(self, asked_at: float) -> None:
         """Record that the row was current at ``asked_at``.
 
--- a/src/tidegrade/core/health/_work.py
+++ b/src/tidegrade/core/health/_work.py
@@ -30,6 +30,15 @@
 #: that was refused comes back.
 MIN_TRIAL_INTERVAL_S = 0.1
 MAX_TRIAL_INTERVAL_S = 1.0
+#: Time after a failure, in seconds, for which it is evidence that the
+#: endpoint still fails: twice the longest time after which a refused caller
+#: retries. Without it, two short disturbances with no statement between them
+#: would count as one long failure.
+EVIDENCE_MAX_AGE_S = 10.0
+#: Shortest time that a statement must have had for its time-out to count, in
+#: seconds (chosen, not measured). A time-out after less says nothing of the
+#: endpoint: the request had used up its time limit before it was sent.
+MIN_TIMEOUT_S = 0.1
 
 
 @attrs.define
@@ -38,7 +47,10 @@
 
     ``failures`` and ``timeouts`` count since the last statement that the
     endpoint answered. ``first_failure_at`` is the time of the first of them,
-    ``last_failure_at`` that of the last.
+    or of the first after a gap of ``EVIDENCE_MAX_AGE_S``; ``last_failure_at``
+    is that of the last. With ``must_answer`` time-outs do not make the
+    endpoint count as failing before it has answered a statement: those of the
+    former primary timed out too, so the statements may be slow.
     """
 
     failures: int = 0
@@ -47,10 +59,12 @@
     last_failure_at: float = float('-inf')
     trial_interval: float = MIN_TRIAL_INTERVAL_S
     next_trial_at: float = float('-inf')
+    must_answer: bool = False
 
     def record_answer(self) -> None:
         """Record that the endpoint answered a statement, also if refused."""
         self.failures = self.timeouts = 0
+        self.must_answer = False
         self.first_failure_at = float('inf')
         self.last_failure_at = float('-inf')
         self.trial_interval = MIN_TRIAL_INTERVAL_S
@@ -61,8 +75,10 @@
         self.failures += 1
         self._failed(now)
 
-    def record_timeout(self, now: float) -> None:
-        """Record that a statement was not answered in time."""
+    def record_timeout(self, sent_at: float, now: float) -> None:
+        """Record that a statement sent at ``sent_at`` was not answered."""
+        if now - sent_at < MIN_TIMEOUT_S:
+            return
         self.timeouts += 1
         self._failed(now)
 
@@ -76,6 +92,11 @@
             doubled = 2 * self.trial_interval
             self.trial_interval = min(doubled, MAX_TRIAL_INTERVAL_S)
 
+    def record_pause(self, seconds: float) -> None:
+        """Leave out a pause of this process, in which it sent nothing."""
+        self.first_failure_at += seconds
+        self.last_failure_at += seconds
+
     @property
     def is_open(self) -> bool:
         """Whether the endpoint gets trial statements only."""
@@ -85,15 +106,28 @@
         """Return whether a statement may be sent to the endpoint now."""
         return not self.is_open or now >= self.next_trial_at
 
-    def is_failing(self) -> bool:
+    def is_failing(self, now: float) -> bool:
         """Return whether the endpoint has failed all statements for long."""
-        if not self.is_open:
+        if self.failures < MIN_FAILURES:
+            return self.is_hanging(now) and not self.must_answer
+        return self._fails_for(MIN_FAILING_S, now)
+
+    def is_hanging(self, now: float) -> bool:
+        """Return whether statements have timed out for long."""
+        if self.failures >= MIN_FAILURES or not self.is_open:
             return False
-        failing_for = self.last_failure_at - self.first_failure_at
-        if self.failures >= MIN_FAILURES:
-            return failing_for >= MIN_FAILING_S
-        return failing_for >= MIN_HANGING_S
+        return self._fails_for(MIN_HANGING_S, now)
+
+    def _fails_for(self, seconds: float, now: float) -> bool:
+        if self._is_outdated(now):
+            return False
+        return self.last_failure_at - self.first_failure_at >= seconds
+
+    def _is_outdated(self, now: float) -> bool:
+        """Return whether the last failure is too old to be evidence."""
+        return now - self.last_failure_at >= EVIDENCE_MAX_AGE_S
 
     def _failed(self, now: float) -> None:
-        self.first_failure_at = min(self.first_failure_at, now)
+        if self._is_outdated(now):
+            self.first_failure_at = now
         self.last_failure_at = now
