Always log handovers of quotas, and test one between real processes

Change: 1609 and 1610 are written without the bound and name bucket_level; nothing is computed for handovers while there is none.

--- a/src/tidegrade/daemon/_quotas.py
+++ b/src/tidegrade/daemon/_quotas.py
@@ -281,11 +281,14 @@
 
     def _accept_handovers(self) -> None:
         now = self._clock.now()
+        kept = list(self._handovers.kept(now))
+        if not kept:
+            return
         known = 1 + self._peers.peer_count()
         seen = core.visible_part(1 + len(self._peers.alive()), known)
         if seen < core.EXCLUSIVE_PART:
             return
-        for handover in self._handovers.kept(now):
+        for handover in kept:
             tenant = self._tenant_named(handover.tenant)
             if tenant is None:
                 continue
@@ -298,11 +301,11 @@
             ) and self._owner.take_over(
                 tenant, handover.level, self._visible_part(''), since, now
             )
-            logs.write_bounded(
+            logs.write(
                 logs.LogEvent.QUOTA_TAKEN_OVER,
                 tenant=tenant.name,
                 peer=handover.sender,
-                level=round(handover.level, 1),
+                bucket_level=round(handover.level, 1),
                 accepted=accepted,
             )
 
@@ -311,6 +314,8 @@
 
         An owner that hasn't sent a heartbeat yet may not be running.
         """
+        if not released:
+            return
         now = self._clock.now()
         if not self._handovers.may_send(self._owner.lowest_part(now), now):
             return
@@ -322,11 +327,11 @@
             self._handovers.record_sent(name, now)
             handover = core.Handover(name, level, self._identity.proxy)
             self._peers.send_to(owner, messages.QuotaHandover(handover))
-            logs.write_bounded(
+            logs.write(
                 logs.LogEvent.QUOTA_HANDED_OVER,
                 tenant=name,
                 peer=owner,
-                level=round(level, 1),
+                bucket_level=round(level, 1),
             )
 
     def _first_since(
--- a/tests/edge/test_edge_quotas.py
+++ b/tests/edge/test_edge_quotas.py
@@ -122,3 +122,24 @@
         assert (await client.ask('READ x')).error == ''
         await anyio.sleep(1 / (RATE * 0.8))
     assert count_runs(limited_site, 'u') >= 20
+
+
+async def test_an_owner_that_stops_hands_the_quota_over(limited_site):
+    """Guards against a fifth of the limit for 2.6 s after a regular stop."""
+    await flood(limited_site, 1.5)
+    granted = [limited_site.log_of(n).count('"event": 1608') for n in range(3)]
+    owner = granted.index(max(granted))
+    others = tuple(n for n in range(3) if n != owner)
+    limited_site.proxies[owner].send(signal.SIGTERM)
+    await anyio.sleep(0.5)
+    await flood(limited_site, 1.5, proxies=others)
+    assert '"event": 1609' in limited_site.log_of(owner)
+    taken_over = [
+        line
+        for n in others
+        for line in limited_site.log_of(n).splitlines()
+        if '"event": 1610' in line
+    ]
+    assert len(taken_over) == 1
+    assert '"accepted": true' in taken_over[0]
+    assert 2.5 * RATE <= count_runs(limited_site) <= 3.5 * RATE + RATE + 5
