Give the choice of relays a module of its own

Ruled out: a base class for parts of Gossip, since the parts would still share all state.

Change: Relays in _relays.py chooses the relays and those that act in place of silent ones; Gossip passes it its identity, roster and clock.

--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -18,19 +18,13 @@
 import anyio
 import attrs
 
-from tidegrade import core
+from tidegrade.daemon import _relays
 from tidegrade.daemon import _roster
 from tidegrade import logs
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 
-#: With fewer other proxies than this, the proxies form a full mesh. The
-#: messages of a mesh grow with the square of the number of proxies.
-MESH_SIZE = 12
-#: Number of relays per failure domain; the second covers the loss of the
-#: first.
-RELAYS = 2
 #: Time for which digests hold a changed heartbeat in full, in seconds: two
 #: digests, so that one may be lost. A proxy that missed both pulls it.
 FULL_HEARTBEAT_S = 1.0
@@ -46,17 +40,6 @@
 #: Age from which digests leave a heartbeat out, in seconds: by then no proxy
 #: counts its sender as alive.
 DIGEST_AGE_LIMIT_S = 6.0
-#: Time for which a proxy acts as a relay after it received a heartbeat to
-#: pass on, in seconds. While proxies start, their views of the relays differ,
-#: and a heartbeat sent to a proxy that does not relay would be lost.
-RELAY_DUTY_S = 2.0
-#: Silence of a relay of the own domain after which the next proxies in order
-#: act as relays too, in seconds: two intervals, since one digest may be lost,
-#: and a margin for a late one. The relay counts as alive for longer.
-RELAY_SILENCE_S = 1.1
-#: Number of proxies in order of which one may act as a relay, so that the
-#: domain keeps two when several of the first fail at once.
-RELAY_CANDIDATES = 4 * RELAYS
 #: Silence of a domain after which a relay reports the next contact at once,
 #: in seconds: as for a relay.
 CONTACT_LOST_S = 1.1
@@ -103,18 +86,8 @@
         self._roster = roster
         self._links = links
         self._clock = clock
+        self._relays = _relays.Relays(identity, roster, clock)
         self._rng = rng
-        self._relay_requested_at = float('-inf')
-        #: As of the last heartbeat of this proxy: whether it used a full
-        #: mesh, the relays of its domain, and those that act as such, which
-        #: may stand in for silent ones.
-        self._was_mesh = True
-        self._own_relays: tuple[str, ...] = ()
-        self._acting_relays: tuple[str, ...] = ()
-        #: When relays of the own domain last sent a digest, and since when
-        #: they are expected to.
-        self._relay_heard_at: dict[str, float] = {}
-        self._relay_expected_at: dict[str, float] = {}
         #: When proxies of other domains that are no known relays there sent
         #: digests to this one, which is a relay.
         self._stand_ins: dict[str, float] = {}
@@ -164,14 +137,13 @@
     def send(self, beat: messages.Heartbeat) -> None:
         """Send this proxy's own heartbeat to all proxies or to its relays."""
         self._update_own(beat)
-        self._was_mesh = self._uses_mesh()
-        if self._was_mesh:
+        self._relays.update()
+        if self._relays.was_mesh:
             for address in self._roster.addresses():
                 self._links.post(address, beat)
             return
-        self._choose_acting_relays()
         to_relay = attrs.evolve(beat, pass_on=True)
-        for proxy in {*self._own_relays, *self._acting_relays}:
+        for proxy in {*self._relays.own, *self._relays.acting}:
             self._post(proxy, to_relay)
 
     def _update_own(self, beat: messages.Heartbeat) -> None:
@@ -190,7 +162,7 @@
         between domains is billed. The second relay there gets its digest from
         the second relay of this domain.
         """
-        if not self.is_relay():
+        if not self._relays.is_relay():
             return
         self._update_own(own)
         domains = self._roster.domains() | {self._identity.domain}
@@ -202,9 +174,9 @@
         # this proxy has no address to pull from, and two domains that restart
         # together would never learn of each other.
         outside = self._digest({self._identity.domain}, own, own_in_full=True)
-        own_place = self._relay_index()
+        own_place = self._relays.own_index()
         for domain in domains - {self._identity.domain}:
-            relays = self.relays(domain)
+            relays = self._relays.of(domain)
             if relays:
                 self._post(relays[own_place % len(relays)], outside)
             else:
@@ -218,37 +190,25 @@
         self._stand_ins = {
             proxy: at
             for proxy, at in self._stand_ins.items()
-            if at >= oldest and not self._is_relay_elsewhere(proxy)
+            if at >= oldest and not self._relays.is_known_relay(proxy)
         }
         return list(self._stand_ins)
 
-    def _is_relay_elsewhere(self, proxy: str) -> bool:
-        return proxy in self.relays(self._roster.domain_of(proxy))
-
     def _contacts(self) -> tuple[messages.DomainContact, ...]:
         """Return this proxy's own contacts with the other domains."""
         ages = self._roster.contacts.direct_ages(self._clock.now())
         return tuple(messages.DomainContact(*found) for found in ages.items())
 
-    def _relay_index(self) -> int:
-        """Return this proxy's index among the relays of its domain.
-
-        It is 0 for a proxy that relays only because others chose it.
-        """
-        if self._identity.proxy not in self._acting_relays:
-            return 0
-        return self._acting_relays.index(self._identity.proxy)
-
     def announce(self, body: messages.Announcement) -> None:
         """Send a message to all proxies, directly or through the relays."""
-        if self._uses_mesh():
+        if self._relays.uses_mesh():
             for address in self._roster.addresses():
                 self._links.post(address, body)
             return
         to_relay = attrs.evolve(body, pass_on=True)
         self._send_to_other_domains(to_relay)
-        own_relays = self.relays(self._identity.domain)
-        for proxy in {*own_relays, *self._acting_relays}:
+        own_relays = self._relays.of(self._identity.domain)
+        for proxy in {*own_relays, *self._relays.acting}:
             self._post(proxy, to_relay)
 
     def pass_on(self, body: messages.Announcement) -> None:
@@ -305,7 +265,7 @@
     def _send_to_other_domains(self, body: messages.PeerBody) -> None:
         """Send to the relays of the other failure domains."""
         for domain in self._roster.domains() - {self._identity.domain}:
-            relays = self.relays(domain)
+            relays = self._relays.of(domain)
             for proxy in relays:
                 self._post(proxy, body)
             if not relays:
@@ -314,7 +274,7 @@
     def _send_to_listed(self, domain: str, body: messages.PeerBody) -> None:
         """Send to some listed addresses of a domain without a known relay."""
         listed = self._roster.listed(domain)
-        few = min(RELAYS, len(listed))
+        few = min(_relays.RELAYS, len(listed))
         for address in self._rng.sample(listed, few):
             self._links.post(address, body)
 
@@ -330,9 +290,9 @@
         now = self._clock.now()
         self._record_direct_contact(beat.domain, now)
         if beat.pass_on:
-            self._relay_requested_at = now
+            self._relays.record_request(now)
             beat = attrs.evolve(beat, pass_on=False)
-        elif not self._uses_mesh() and not self.is_relay():
+        elif not self._relays.uses_mesh() and not self._relays.is_relay():
             # The sender does not know the relays yet, nor they the sender.
             address = _links.Address(beat.host, beat.port)
             self._send_relays(beat.domain, address)
@@ -372,23 +332,24 @@
         for proxy in introduced:
             self._send_own(proxy)
 
-    # Contact with other domains -------------------------------------------
+    # Relays ---------------------------------------------------------------
+
+    def is_relay(self) -> bool:
+        """Return whether this proxy acts as a relay."""
+        return self._relays.is_relay()
+
+    def relays(self, domain: str) -> tuple[str, ...]:
+        """Return the relays of a failure domain."""
+        return self._relays.of(domain)
 
     def relays_heard_at(self) -> float | None:
         """Return the time by which each relay of this domain was heard.
 
-        Contacts before that time are known. None in a full mesh, where this
-        proxy is itself in contact with other domains.
+        None in a full mesh.
         """
-        if self._was_mesh:
-            return None
-        if self._identity.proxy in self._own_relays:
-            return self._clock.now()
-        never = float('-inf')
-        return min(
-            (self._relay_heard_at.get(p, never) for p in self._acting_relays),
-            default=never,
-        )
+        return self._relays.heard_at()
+
+    # Contact with other domains -------------------------------------------
 
     def _record_direct_contact(self, domain: str, now: float) -> None:
         if domain == self._identity.domain:
@@ -396,7 +357,7 @@
         last = self._roster.contacts.last(domain)
         self._roster.contacts.record_direct(domain, now)
         lost = last is None or now - last >= CONTACT_LOST_S
-        if lost and self.is_relay():
+        if lost and self._relays.is_relay():
             self._contact_regained = True
             self._wakeup.set()
 
@@ -423,7 +384,7 @@
         if not digest.contacts:
             self._count_heartbeats_as_contacts(newest, now)
         if digest.rolls or digest.contacts:
-            self._relay_heard_at[digest.sender] = now
+            self._relays.record_digest(digest.sender, now)
 
     def _count_heartbeats_as_contacts(
         self, newest: dict[str, float], now: float
@@ -448,7 +409,7 @@
             and digest.sender != ''
             and beat.proxy != digest.sender
             and beat.domain != self._identity.domain
-            and beat.proxy not in self.relays(beat.domain)
+            and beat.proxy not in self._relays.of(beat.domain)
         )
 
     def _answer_stand_in(self, digest: messages.Digest, now: float) -> None:
@@ -457,9 +418,13 @@
         It needs them to be in contact with this domain, and this relay does
         not choose it while the failed relays count as alive.
         """
-        if not digest.rolls or self._uses_mesh() or not self.is_relay():
+        if (
+            not digest.rolls
+            or self._relays.uses_mesh()
+            or not self._relays.is_relay()
+        ):
             return
-        if self._is_relay_elsewhere(digest.sender):
+        if self._relays.is_known_relay(digest.sender):
             return
         if digest.sender not in self._stand_ins:
             self._send_own(digest.sender)
@@ -467,7 +432,7 @@
 
     def _send_own(self, proxy: str) -> None:
         """Send this proxy's own heartbeat to a proxy of another domain."""
-        if self._own_beat is None or not self.is_relay():
+        if self._own_beat is None or not self._relays.is_relay():
             return
         age = self._clock.now() - self._own_beat_at
         self._post(
@@ -523,7 +488,7 @@
             is None
         ):
             return
-        if beat.urgent() != before and self.is_relay():
+        if beat.urgent() != before and self._relays.is_relay():
             self._urgent_changes[beat.proxy] = aged
             self._wakeup.set()
 
@@ -533,7 +498,11 @@
         That relay sends digests to other proxies only while it knows no relay
         here, as after a network partition.
         """
-        if not digest.rolls or self._uses_mesh() or self.is_relay():
+        if (
+            not digest.rolls
+            or self._relays.uses_mesh()
+            or self._relays.is_relay()
+        ):
             return
         sender = self._roster.get(digest.sender)
         if sender is not None and sender.beat.domain != self._identity.domain:
@@ -542,7 +511,7 @@
     def _send_relays(self, domain: str, to: _links.Address) -> None:
         """Send the heartbeats of a domain's relays to another proxy."""
         now = self._clock.now()
-        peers = map(self._roster.get, self.relays(domain))
+        peers = map(self._roster.get, self._relays.of(domain))
         news = tuple(
             messages.AgedHeartbeat(peer.beat, max(0.0, now - peer.sent_at))
             for peer in peers
@@ -613,78 +582,6 @@
                 entry.proxy, entry.revision, pulled_at - entry.age
             )
 
-    # Relays ---------------------------------------------------------------
-
-    def _uses_mesh(self) -> bool:
-        candidates = self._roster.candidates(self._clock.now())
-        return sum(map(len, candidates.values())) < MESH_SIZE
-
-    def is_relay(self) -> bool:
-        """Return whether this proxy acts as a relay."""
-        if self._uses_mesh():
-            return False
-        if self._clock.now() - self._relay_requested_at < RELAY_DUTY_S:
-            return True
-        if self._identity.proxy in self._acting_relays:
-            return True
-        return self._identity.proxy in self.relays(self._identity.domain)
-
-    def relays(self, domain: str) -> tuple[str, ...]:
-        """Return the relays of a failure domain.
-
-        They are the proxies with the largest VMs, since relays send the most;
-        rendezvous hashing decides between VMs of equal capacity.
-        This proxy may be one of them. Proxies that were listed recently but
-        have sent no heartbeat yet count too, since they may be restarted
-        relays.
-        """
-        return self._ranked(domain, RELAYS)
-
-    def _ranked(self, domain: str, count: int) -> tuple[str, ...]:
-        candidates = self._roster.candidates(self._clock.now())
-        proxies = candidates.get(domain, set())
-        if domain == self._identity.domain:
-            proxies = proxies | {self._identity.proxy}
-        return core.largest_first(
-            f'relay {domain}', proxies, self._roster.capacities(), count
-        )
-
-    def _choose_acting_relays(self) -> None:
-        """Choose the proxies that act as relays of this domain.
-
-        They are the first in order that are not silent.
-        """
-        now = self._clock.now()
-        acting: list[str] = []
-        expected_at: dict[str, float] = {}
-        heard_at: dict[str, float] = {}
-        ranked = self._ranked(self._identity.domain, RELAY_CANDIDATES)
-        for proxy in ranked:
-            if len(acting) == RELAYS:
-                break
-            if proxy == self._identity.proxy:
-                acting.append(proxy)
-                continue
-            expected_at[proxy] = self._relay_expected_at.get(proxy, now)
-            heard_at[proxy] = self._relay_heard_at.get(proxy, float('-inf'))
-            silent_since = max(expected_at[proxy], heard_at[proxy])
-            if now - silent_since < RELAY_SILENCE_S:
-                acting.append(proxy)
-        self._own_relays = ranked[:RELAYS]
-        was_standing_in = self._is_standing_in()
-        self._acting_relays = tuple(acting)
-        if self._is_standing_in() and not was_standing_in:
-            logs.write(
-                logs.LogEvent.RELAYS_SILENT,
-                silent=[p for p in self._own_relays if p not in acting],
-            )
-        self._relay_expected_at = expected_at
-        self._relay_heard_at = heard_at
-
-    def _is_standing_in(self) -> bool:
-        own = self._identity.proxy
-        return own in self._acting_relays and own not in self._own_relays
-
 
 @attrs.define
 class _SummaryBuilder:
