Give pulls a module of their own

Cause: _gossip.py mixed the sending of heartbeats with the schedule of pulls.

Ruled out: passing Gossip itself to the pulls; they need only a function that stores a heartbeat and one that wakes the task.

Change: Pulls in _pulls.py schedules, runs and answers pulls.

--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -18,9 +18,9 @@
 import anyio
 import attrs
 
+from tidegrade.daemon import _pulls
 from tidegrade.daemon import _relays
 from tidegrade.daemon import _roster
-from tidegrade import logs
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
@@ -53,19 +53,6 @@
 #: Time for which a relay collects urgent changes before it forwards them, in
 #: seconds: many proxies change for one cause at about the same time.
 URGENT_DELAY_S = 0.02
-#: Shortest interval between pulls of one domain's heartbeats from the same
-#: proxy, in seconds: about twice the interval between its digests.
-PULL_INTERVAL_S = 1.0
-#: Silence after which a pull fails, in seconds.
-PULL_TIMEOUT_S = 0.5
-
-
-@attrs.frozen
-class _Pull:
-    """A pull of the heartbeats of ``domain`` from ``proxy``."""
-
-    proxy: str
-    domain: str
 
 
 class Gossip:
@@ -97,12 +84,10 @@
         self._own_revision = 0
         self._own_changed_at = float('-inf')
         self._urgent_changes: dict[str, messages.AgedHeartbeat] = {}
-        self._scheduled_pulls: set[_Pull] = set()
-        self._pulled_at: dict[_Pull, float] = {}
-        #: Pulls for which the last digest's checksum did not match. A pull is
-        #: scheduled when the next one does not match either.
-        self._mismatched: set[_Pull] = set()
         self._wakeup = anyio.Event()
+        self._pulls = _pulls.Pulls(
+            identity, roster, links, clock, self._store_pulled, self._wake
+        )
 
     async def run(self) -> None:
         """Forward urgent changes and run scheduled pulls until cancelled."""
@@ -113,7 +98,7 @@
                 self._wakeup = anyio.Event()
                 self.flush()
                 for pull in self.take_pulls():
-                    tasks.start_soon(self._pull, pull)
+                    tasks.start_soon(self._pulls.run, pull)
 
     def flush(self) -> None:
         """Forward the urgent changes collected since the last call."""
@@ -132,6 +117,10 @@
         if inside:
             self._send_to_other_domains(messages.Digest(tuple(inside)))
 
+    def _wake(self) -> None:
+        """Have urgent changes forwarded and scheduled pulls run soon."""
+        self._wakeup.set()
+
     # Sending --------------------------------------------------------------
 
     def send(self, beat: messages.Heartbeat) -> None:
@@ -319,15 +308,11 @@
         named = digest.named()
         for roll in digest.rolls:
             own = self._own_revision if self._is_counted_in(roll, named) else 0
-            pull = _Pull(digest.sender, roll.domain)
+            pull = _pulls.Pull(digest.sender, roll.domain)
             if self._roster.match_summary(roll, named, own, now):
-                self._mismatched.discard(pull)
-            elif pull in self._mismatched:
-                self._schedule_pull(pull, now)
+                self._pulls.record_match(pull)
             else:
-                # The first mismatch may only be a race: this proxy may have
-                # got a change from another relay before this one forwards it.
-                self._mismatched.add(pull)
+                self._pulls.record_mismatch(pull, now)
         self._record_contacts(digest, newest, now)
         for proxy in introduced:
             self._send_own(proxy)
@@ -359,7 +344,7 @@
         lost = last is None or now - last >= CONTACT_LOST_S
         if lost and self._relays.is_relay():
             self._contact_regained = True
-            self._wakeup.set()
+            self._wake()
 
     def _record_contacts(
         self, digest: messages.Digest, newest: dict[str, float], now: float
@@ -443,30 +428,6 @@
             ),
         )
 
-    def answer_pull(self, request: messages.AskDomain) -> messages.Digest:
-        """Return the heartbeats of a failure domain that the sender lacks.
-
-        For heartbeats that the sender has, the digest only states that their
-        proxies are alive. With 40 proxies in a domain, two of them new, this
-        takes a quarter of the bytes.
-        """
-        now = self._clock.now()
-        known = frozenset(request.known)
-        news, alive = [], []
-        for peer in self._roster.alive(now):
-            if peer.beat.domain != request.domain:
-                continue
-            age = max(0.0, now - peer.sent_at)
-            if peer.revision in known:
-                alive.append(
-                    messages.AliveProxy(peer.beat.proxy, age, peer.revision)
-                )
-            else:
-                news.append(messages.AgedHeartbeat(peer.beat, age))
-        return messages.Digest(
-            tuple(news), tuple(alive), sender=self._identity.proxy
-        )
-
     def _is_counted_in(
         self, roll: messages.Roll, named: frozenset[str]
     ) -> bool:
@@ -490,7 +451,12 @@
             return
         if beat.urgent() != before and self._relays.is_relay():
             self._urgent_changes[beat.proxy] = aged
-            self._wakeup.set()
+            self._wake()
+
+    def _store_pulled(
+        self, aged: messages.AgedHeartbeat, pulled_at: float
+    ) -> None:
+        self._store(aged, pulled_at, True)
 
     def _introduce_own_relays(self, digest: messages.Digest) -> None:
         """Send the relays of this domain to a relay of another domain.
@@ -521,66 +487,29 @@
             to, messages.Digest(news, sender=self._identity.proxy)
         )
 
-    # Pulling --------------------------------------------------------------
+    # Pulls ----------------------------------------------------------------
 
-    def _schedule_pull(self, pull: _Pull, now: float) -> None:
-        pulled_at = self._pulled_at.get(pull, float('-inf'))
-        if pull.proxy and now - pulled_at >= PULL_INTERVAL_S:
-            self._pulled_at[pull] = now
-            logs.write_bounded(
-                logs.LogEvent.DOMAIN_DIFFERS,
-                peer=pull.proxy,
-                domain=pull.domain,
-            )
-            self._scheduled_pulls.add(pull)
-            self._wakeup.set()
-
-    def take_pulls(self) -> list[_Pull]:
+    def take_pulls(self) -> list[_pulls.Pull]:
         """Return the scheduled pulls and clear them."""
-        pulls, self._scheduled_pulls = self._scheduled_pulls, set()
-        return list(pulls)
-
-    async def _pull(self, pull: _Pull) -> None:
-        address = self.address_of(pull)
-        if address is None:
-            return
-        pulled_at = self._clock.now()
-        pulled = await self._links.fetch(
-            address, self.pull_message(pull.domain), PULL_TIMEOUT_S
-        )
-        if isinstance(pulled.answer, messages.Digest):
-            self.receive_pulled(pulled.answer, pulled_at)
+        return self._pulls.take()
 
-    def address_of(self, pull: _Pull) -> _links.Address | None:
+    def address_of(self, pull: _pulls.Pull) -> _links.Address | None:
         """Return the address to pull from, None if it is not known."""
-        return self._roster.address_of(pull.proxy)
+        return self._pulls.address_of(pull)
 
     def pull_message(self, domain: str) -> messages.AskDomain:
-        """Return the message that pulls the heartbeats of a domain.
-
-        It holds the revisions known here, which need not be sent again.
-        """
-        known = (
-            peer.revision
-            for peer in self._roster.known()
-            if peer.beat.domain == domain
-        )
-        return messages.AskDomain(domain, tuple(known))
+        """Return the message that pulls the heartbeats of a domain."""
+        return self._pulls.message(domain)
 
     def receive_pulled(
         self, digest: messages.Digest, pulled_at: float
     ) -> None:
-        """Store the heartbeats that a pull returned.
+        """Store the heartbeats that a pull sent at ``pulled_at`` returned."""
+        self._pulls.receive(digest, pulled_at)
 
-        Their ages count from the time at which the pull was sent, so a slow
-        answer cannot make a silent proxy look alive.
-        """
-        for aged in digest.news:
-            self._store(aged, pulled_at, True)
-        for entry in digest.alive:
-            self._roster.refresh_unchanged(
-                entry.proxy, entry.revision, pulled_at - entry.age
-            )
+    def answer_pull(self, request: messages.AskDomain) -> messages.Digest:
+        """Return the heartbeats of a failure domain that the sender lacks."""
+        return self._pulls.answer(request)
 
 
 @attrs.define
