Give digests a module of their own

Cause: _gossip.py mixed what a digest holds with whom it is sent to.

Ruled out: a separate class for this proxy's own heartbeat; only digests use its revision and times.

Change: Digests in _digests.py records this proxy's own heartbeat and builds digests.

--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -18,6 +18,7 @@
 import anyio
 import attrs
 
+from tidegrade.daemon import _digests
 from tidegrade.daemon import _pulls
 from tidegrade.daemon import _relays
 from tidegrade.daemon import _roster
@@ -25,21 +26,6 @@
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 
-#: Time for which digests hold a changed heartbeat in full, in seconds: two
-#: digests, so that one may be lost. A proxy that missed both pulls it.
-FULL_HEARTBEAT_S = 1.0
-#: Age from which a heartbeat received directly gets an entry of its own in
-#: digests, in seconds: two intervals. The checksum of a domain carries the
-#: greatest age among its proxies, so an old heartbeat would make all others
-#: look old.
-DIRECT_FRESH_S = 1.0
-#: The same for a heartbeat received through relays, in seconds. Each relay
-#: adds up to one interval; with the limit for direct heartbeats most proxies
-#: would get an entry in each digest.
-RELAYED_FRESH_S = 1.8
-#: Age from which digests leave a heartbeat out, in seconds: by then no proxy
-#: counts its sender as alive.
-DIGEST_AGE_LIMIT_S = 6.0
 #: Silence of a domain after which a relay reports the next contact at once,
 #: in seconds: as for a relay.
 CONTACT_LOST_S = 1.1
@@ -73,16 +59,13 @@
         self._roster = roster
         self._links = links
         self._clock = clock
-        self._relays = _relays.Relays(identity, roster, clock)
         self._rng = rng
+        self._relays = _relays.Relays(identity, roster, clock)
+        self._digests = _digests.Digests(identity, roster, clock)
         #: When proxies of other domains that are no known relays there sent
         #: digests to this one, which is a relay.
         self._stand_ins: dict[str, float] = {}
         self._contact_regained = False
-        self._own_beat: messages.Heartbeat | None = None
-        self._own_beat_at = float('-inf')
-        self._own_revision = 0
-        self._own_changed_at = float('-inf')
         self._urgent_changes: dict[str, messages.AgedHeartbeat] = {}
         self._wakeup = anyio.Event()
         self._pulls = _pulls.Pulls(
@@ -125,7 +108,7 @@
 
     def send(self, beat: messages.Heartbeat) -> None:
         """Send this proxy's own heartbeat to all proxies or to its relays."""
-        self._update_own(beat)
+        self._digests.update_own(beat)
         self._relays.update()
         if self._relays.was_mesh:
             for address in self._roster.addresses():
@@ -135,15 +118,6 @@
         for proxy in {*self._relays.own, *self._relays.acting}:
             self._post(proxy, to_relay)
 
-    def _update_own(self, beat: messages.Heartbeat) -> None:
-        self._own_beat_at = self._clock.now()
-        if beat == self._own_beat:
-            return
-        revision = beat.revision()
-        if revision != self._own_revision:
-            self._own_changed_at = self._clock.now()
-        self._own_beat, self._own_revision = beat, revision
-
     def send_digest(self, own: messages.Heartbeat) -> None:
         """Send digests, if this proxy is a relay.
 
@@ -153,16 +127,18 @@
         """
         if not self._relays.is_relay():
             return
-        self._update_own(own)
+        self._digests.update_own(own)
         domains = self._roster.domains() | {self._identity.domain}
-        inside = self._digest(domains, own)
+        inside = self._digests.build(domains, own)
         self._send_within_domain(
             attrs.evolve(inside, contacts=self._contacts())
         )
         # Holds this proxy's heartbeat in full: a recipient that does not know
         # this proxy has no address to pull from, and two domains that restart
         # together would never learn of each other.
-        outside = self._digest({self._identity.domain}, own, own_in_full=True)
+        outside = self._digests.build(
+            {self._identity.domain}, own, own_in_full=True
+        )
         own_place = self._relays.own_index()
         for domain in domains - {self._identity.domain}:
             relays = self._relays.of(domain)
@@ -204,47 +180,6 @@
         """Forward a message to the other proxies of this failure domain."""
         self._send_within_domain(attrs.evolve(body, pass_on=False))
 
-    def _digest(
-        self,
-        domains: frozenset[str] | set[str],
-        own: messages.Heartbeat,
-        own_in_full: bool = False,
-    ) -> messages.Digest:
-        """Return a digest of the heartbeats known of ``domains``.
-
-        With ``own_in_full`` it holds ``own``, this proxy's heartbeat, in full.
-        """
-        now = self._clock.now()
-        news = []
-        alive = []
-        builders = {
-            domain: _SummaryBuilder(domain) for domain in sorted(domains)
-        }
-        if own_in_full or now - self._own_changed_at < FULL_HEARTBEAT_S:
-            news.append(messages.AgedHeartbeat(own, 0.0))
-        else:
-            builders[self._identity.domain].add(self._own_revision, 0.0)
-        for peer in self._roster.known():
-            age = max(0.0, now - peer.sent_at)
-            if age > DIGEST_AGE_LIMIT_S or peer.beat.domain not in domains:
-                continue
-            if now - peer.changed_at < FULL_HEARTBEAT_S:
-                news.append(messages.AgedHeartbeat(peer.beat, age))
-            elif age > (RELAYED_FRESH_S if peer.relayed else DIRECT_FRESH_S):
-                alive.append(
-                    messages.AliveProxy(peer.beat.proxy, age, peer.revision)
-                )
-            else:
-                builders[peer.beat.domain].add(peer.revision, age)
-        return messages.Digest(
-            tuple(news),
-            tuple(alive),
-            tuple(b.build() for b in builders.values() if b.count),
-            self._identity.proxy,
-            own.config_version,
-            own.config_age,
-        )
-
     def _send_within_domain(self, body: messages.PeerBody) -> None:
         """Send to the other proxies of this failure domain."""
         for peer in self._roster.alive(self._clock.now()):
@@ -307,7 +242,7 @@
         self._introduce_own_relays(digest)
         named = digest.named()
         for roll in digest.rolls:
-            own = self._own_revision if self._is_counted_in(roll, named) else 0
+            own = self._digests.own_revision_in(roll, named)
             pull = _pulls.Pull(digest.sender, roll.domain)
             if self._roster.match_summary(roll, named, own, now):
                 self._pulls.record_match(pull)
@@ -417,23 +352,11 @@
 
     def _send_own(self, proxy: str) -> None:
         """Send this proxy's own heartbeat to a proxy of another domain."""
-        if self._own_beat is None or not self._relays.is_relay():
+        if not self._relays.is_relay():
             return
-        age = self._clock.now() - self._own_beat_at
-        self._post(
-            proxy,
-            messages.Digest(
-                (messages.AgedHeartbeat(self._own_beat, age),),
-                sender=self._identity.proxy,
-            ),
-        )
-
-    def _is_counted_in(
-        self, roll: messages.Roll, named: frozenset[str]
-    ) -> bool:
-        if roll.domain != self._identity.domain:
-            return False
-        return self._identity.proxy not in named
+        own = self._digests.own_only()
+        if own is not None:
+            self._post(proxy, own)
 
     def _store(
         self, aged: messages.AgedHeartbeat, at: float, relayed: bool
@@ -510,27 +433,3 @@
     def answer_pull(self, request: messages.AskDomain) -> messages.Digest:
         """Return the heartbeats of a failure domain that the sender lacks."""
         return self._pulls.answer(request)
-
-
-@attrs.define
-class _SummaryBuilder:
-    """Builds the summary of a domain's unchanged heartbeats.
-
-    ``revisions`` is the exclusive or of their revisions, ``age`` the greatest
-    age in seconds.
-    """
-
-    domain: str
-    count: int = 0
-    revisions: int = 0
-    age: float = 0.0
-
-    def add(self, revision: int, age: float) -> None:
-        """Add a heartbeat that was sent ``age`` seconds ago."""
-        self.count += 1
-        self.revisions ^= revision
-        self.age = max(self.age, age)
-
-    def build(self) -> messages.Roll:
-        """Return the summary as a digest holds it."""
-        return messages.Roll(self.domain, self.count, self.revisions, self.age)
