Give contacts with other domains a module of their own

Cause: _gossip.py mixed the sending of heartbeats with the contacts with other failure domains.

Ruled out: a callable of Gossip to post to a proxy; the address and the links suffice.

Change: DomainContacts in _domain_contacts.py records contacts, answers proxies that stand in for relays and introduces relays.

--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -19,6 +19,7 @@
 import attrs
 
 from tidegrade.daemon import _digests
+from tidegrade.daemon import _domain_contacts
 from tidegrade.daemon import _pulls
 from tidegrade.daemon import _relays
 from tidegrade.daemon import _roster
@@ -26,16 +27,6 @@
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 
-#: Silence of a domain after which a relay reports the next contact at once,
-#: in seconds: as for a relay.
-CONTACT_LOST_S = 1.1
-#: Age below which relayed heartbeats in a digest without contacts count as a
-#: contact, in seconds. Older proxies send no contacts, and their digests may
-#: repeat heartbeats of a domain that is cut off.
-UNREPORTED_CONTACT_AGE_S = 2.0
-#: Time for which a relay sends digests to a proxy of another domain that sent
-#: it some without being a known relay, in seconds.
-STAND_IN_S = 1.2
 #: Time for which a relay collects urgent changes before it forwards them, in
 #: seconds: many proxies change for one cause at about the same time.
 URGENT_DELAY_S = 0.02
@@ -62,12 +53,17 @@
         self._rng = rng
         self._relays = _relays.Relays(identity, roster, clock)
         self._digests = _digests.Digests(identity, roster, clock)
-        #: When proxies of other domains that are no known relays there sent
-        #: digests to this one, which is a relay.
-        self._stand_ins: dict[str, float] = {}
-        self._contact_regained = False
         self._urgent_changes: dict[str, messages.AgedHeartbeat] = {}
         self._wakeup = anyio.Event()
+        self._contacts = _domain_contacts.DomainContacts(
+            identity,
+            roster,
+            self._relays,
+            self._digests,
+            links,
+            clock,
+            self._wake,
+        )
         self._pulls = _pulls.Pulls(
             identity, roster, links, clock, self._store_pulled, self._wake
         )
@@ -85,11 +81,10 @@
 
     def flush(self) -> None:
         """Forward the urgent changes collected since the last call."""
-        if self._contact_regained:
-            self._contact_regained = False
+        if self._contacts.take_regained():
             self._send_within_domain(
                 messages.Digest(
-                    sender=self._identity.proxy, contacts=self._contacts()
+                    sender=self._identity.proxy, contacts=self._contacts.own()
                 )
             )
         news, self._urgent_changes = tuple(self._urgent_changes.values()), {}
@@ -131,7 +126,7 @@
         domains = self._roster.domains() | {self._identity.domain}
         inside = self._digests.build(domains, own)
         self._send_within_domain(
-            attrs.evolve(inside, contacts=self._contacts())
+            attrs.evolve(inside, contacts=self._contacts.own())
         )
         # Holds this proxy's heartbeat in full: a recipient that does not know
         # this proxy has no address to pull from, and two domains that restart
@@ -146,24 +141,9 @@
                 self._post(relays[own_place % len(relays)], outside)
             else:
                 self._send_to_listed(domain, outside)
-        for proxy in self._current_stand_ins():
+        for proxy in self._contacts.stand_ins():
             self._post(proxy, outside)
 
-    def _current_stand_ins(self) -> list[str]:
-        """Return the proxies of other domains that stand in for relays."""
-        oldest = self._clock.now() - STAND_IN_S
-        self._stand_ins = {
-            proxy: at
-            for proxy, at in self._stand_ins.items()
-            if at >= oldest and not self._relays.is_known_relay(proxy)
-        }
-        return list(self._stand_ins)
-
-    def _contacts(self) -> tuple[messages.DomainContact, ...]:
-        """Return this proxy's own contacts with the other domains."""
-        ages = self._roster.contacts.direct_ages(self._clock.now())
-        return tuple(messages.DomainContact(*found) for found in ages.items())
-
     def announce(self, body: messages.Announcement) -> None:
         """Send a message to all proxies, directly or through the relays."""
         if self._relays.uses_mesh():
@@ -212,14 +192,14 @@
     def receive_heartbeat(self, beat: messages.Heartbeat) -> None:
         """Store a heartbeat received directly from its proxy."""
         now = self._clock.now()
-        self._record_direct_contact(beat.domain, now)
+        self._contacts.record_direct(beat.domain, now)
         if beat.pass_on:
             self._relays.record_request(now)
             beat = attrs.evolve(beat, pass_on=False)
         elif not self._relays.uses_mesh() and not self._relays.is_relay():
             # The sender does not know the relays yet, nor they the sender.
             address = _links.Address(beat.host, beat.port)
-            self._send_relays(beat.domain, address)
+            self._contacts.send_relays(beat.domain, address)
         self._store(messages.AgedHeartbeat(beat, 0.0), now, False)
 
     def receive_digest(self, digest: messages.Digest) -> None:
@@ -229,7 +209,7 @@
         introduced = [
             aged.beat.proxy
             for aged in digest.news
-            if self._is_introduced(aged.beat, digest)
+            if self._contacts.is_introduced(aged.beat, digest)
         ]
         for aged in digest.news:
             self._store(aged, now, aged.beat.proxy != digest.sender)
@@ -239,7 +219,7 @@
         self._roster.record_config(
             digest.sender, digest.config_version, digest.config_age, now
         )
-        self._introduce_own_relays(digest)
+        self._contacts.introduce_own_relays(digest)
         named = digest.named()
         for roll in digest.rolls:
             own = self._digests.own_revision_in(roll, named)
@@ -248,115 +228,9 @@
                 self._pulls.record_match(pull)
             else:
                 self._pulls.record_mismatch(pull, now)
-        self._record_contacts(digest, newest, now)
+        self._contacts.record(digest, newest, now)
         for proxy in introduced:
-            self._send_own(proxy)
-
-    # Relays ---------------------------------------------------------------
-
-    def is_relay(self) -> bool:
-        """Return whether this proxy acts as a relay."""
-        return self._relays.is_relay()
-
-    def relays(self, domain: str) -> tuple[str, ...]:
-        """Return the relays of a failure domain."""
-        return self._relays.of(domain)
-
-    def relays_heard_at(self) -> float | None:
-        """Return the time by which each relay of this domain was heard.
-
-        None in a full mesh.
-        """
-        return self._relays.heard_at()
-
-    # Contact with other domains -------------------------------------------
-
-    def _record_direct_contact(self, domain: str, now: float) -> None:
-        if domain == self._identity.domain:
-            return
-        last = self._roster.contacts.last(domain)
-        self._roster.contacts.record_direct(domain, now)
-        lost = last is None or now - last >= CONTACT_LOST_S
-        if lost and self._relays.is_relay():
-            self._contact_regained = True
-            self._wake()
-
-    def _record_contacts(
-        self, digest: messages.Digest, newest: dict[str, float], now: float
-    ) -> None:
-        """Record contact with the sender's domain, or those that it states.
-
-        ``newest`` holds when the newest heartbeat of each domain had been
-        sent as far as it was known before this digest.
-        """
-        domain = self._roster.domain_of(digest.sender)
-        if not domain:
-            return
-        if domain != self._identity.domain:
-            self._record_direct_contact(domain, now)
-            self._answer_stand_in(digest, now)
-            return
-        for contact in digest.contacts:
-            if contact.domain != domain:
-                self._roster.contacts.record_report(
-                    contact.domain, now - contact.age
-                )
-        if not digest.contacts:
-            self._count_heartbeats_as_contacts(newest, now)
-        if digest.rolls or digest.contacts:
-            self._relays.record_digest(digest.sender, now)
-
-    def _count_heartbeats_as_contacts(
-        self, newest: dict[str, float], now: float
-    ) -> None:
-        """Record contact with each domain that a newer heartbeat is of."""
-        for domain, at in self._roster.newest_heartbeats().items():
-            if domain == self._identity.domain or at <= newest.get(domain, 0):
-                continue
-            if now - at < UNREPORTED_CONTACT_AGE_S:
-                self._roster.contacts.record_report(domain, now)
-
-    def _is_introduced(
-        self, beat: messages.Heartbeat, digest: messages.Digest
-    ) -> bool:
-        """Return whether a digest introduces a relay of another domain.
-
-        See :meth:`_introduce_own_relays`. The relay is sent a heartbeat at
-        once, since its domain may have been out of contact.
-        """
-        return (
-            not digest.rolls
-            and digest.sender != ''
-            and beat.proxy != digest.sender
-            and beat.domain != self._identity.domain
-            and beat.proxy not in self._relays.of(beat.domain)
-        )
-
-    def _answer_stand_in(self, digest: messages.Digest, now: float) -> None:
-        """Send digests to a proxy that stands in for relays of its domain.
-
-        It needs them to be in contact with this domain, and this relay does
-        not choose it while the failed relays count as alive.
-        """
-        if (
-            not digest.rolls
-            or self._relays.uses_mesh()
-            or not self._relays.is_relay()
-        ):
-            return
-        if self._relays.is_known_relay(digest.sender):
-            return
-        if digest.sender not in self._stand_ins:
-            self._send_own(digest.sender)
-        self._stand_ins[digest.sender] = now
-
-    def _send_own(self, proxy: str) -> None:
-        """Send this proxy's own heartbeat to a proxy of another domain."""
-        if not self._relays.is_relay():
-            return
-        own = self._digests.own_only()
-        if own is not None:
-            self._post(proxy, own)
+            self._contacts.send_own(proxy)
 
     def _store(
         self, aged: messages.AgedHeartbeat, at: float, relayed: bool
@@ -381,34 +255,22 @@
     ) -> None:
         self._store(aged, pulled_at, True)
 
-    def _introduce_own_relays(self, digest: messages.Digest) -> None:
-        """Send the relays of this domain to a relay of another domain.
+    # Relays ---------------------------------------------------------------
 
-        That relay sends digests to other proxies only while it knows no relay
-        here, as after a network partition.
-        """
-        if (
-            not digest.rolls
-            or self._relays.uses_mesh()
-            or self._relays.is_relay()
-        ):
-            return
-        sender = self._roster.get(digest.sender)
-        if sender is not None and sender.beat.domain != self._identity.domain:
-            self._send_relays(self._identity.domain, sender.address)
+    def is_relay(self) -> bool:
+        """Return whether this proxy acts as a relay."""
+        return self._relays.is_relay()
 
-    def _send_relays(self, domain: str, to: _links.Address) -> None:
-        """Send the heartbeats of a domain's relays to another proxy."""
-        now = self._clock.now()
-        peers = map(self._roster.get, self._relays.of(domain))
-        news = tuple(
-            messages.AgedHeartbeat(peer.beat, max(0.0, now - peer.sent_at))
-            for peer in peers
-            if peer is not None
-        )
-        self._links.post(
-            to, messages.Digest(news, sender=self._identity.proxy)
-        )
+    def relays(self, domain: str) -> tuple[str, ...]:
+        """Return the relays of a failure domain."""
+        return self._relays.of(domain)
+
+    def relays_heard_at(self) -> float | None:
+        """Return the time by which each relay of this domain was heard.
+
+        None in a full mesh.
+        """
+        return self._relays.heard_at()
 
     # Pulls ----------------------------------------------------------------
 
