Give cached answers of the roster a class

Cause: the roster checked and forgot its two cached answers by hand, with a class for each.

Ruled out: functools caches; an answer holds until a time or a change.

Change: CachedAnswer in _cached.py holds an answer with its validity; the roster clears it upon changes.

--- a/src/tidegrade/daemon/_roster.py
+++ b/src/tidegrade/daemon/_roster.py
@@ -11,6 +11,7 @@
 import attrs
 
 from tidegrade import core
+from tidegrade.daemon import _cached
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
@@ -56,32 +57,6 @@
     since: float
 
 
-@attrs.frozen
-class _Alive:
-    """The peers that are alive from ``since`` until just before ``until``.
-
-    This holds while no peer is added, removed or returns, and while none
-    changes between direct and relayed heartbeats.
-    """
-
-    peers: list[Peer]
-    since: float
-    until: float
-
-
-@attrs.frozen
-class _Candidates:
-    """The candidates from ``since`` until just before ``until``, by domain.
-
-    This holds while the alive peers and the listed proxies stay the same and
-    no heartbeat changes.
-    """
-
-    by_domain: dict[str, set[str]]
-    since: float
-    until: float
-
-
 class Roster:
     """The peers known by heartbeats, and the proxies that the platform lists.
 
@@ -111,10 +86,13 @@
         #: Contact with the other failure domains.
         self.contacts = core.Contacts()
         self._listed: dict[_links.Address, _ListedVm] = {}
-        #: The last answer of `alive`; None if it may not hold any more.
-        self._last_alive: _Alive | None = None
-        #: The same for `candidates`.
-        self._last_candidates: _Candidates | None = None
+        #: The alive peers. An answer holds while no peer is added, removed or
+        #: returns, and while none changes between direct and relayed
+        #: heartbeats.
+        self._alive = _cached.CachedAnswer(self._find_alive)
+        #: The candidates by domain. An answer holds while the alive peers and
+        #: the listed proxies stay the same and no heartbeat changes.
+        self._candidates = _cached.CachedAnswer(self._find_candidates)
 
     # Updates --------------------------------------------------------------
 
@@ -125,14 +103,14 @@
         if known is None or known.vm != vm:
             self._listed[address] = _ListedVm(vm, now)
             self._capacities = None
-            self._last_candidates = None
+            self._candidates.clear()
         return address
 
     def unlist(self, address: _links.Address) -> None:
         """Remove a listed address."""
         self._listed.pop(address, None)
         self._capacities = None
-        self._last_candidates = None
+        self._candidates.clear()
 
     def record_heartbeat(
         self,
@@ -226,7 +204,7 @@
             self._remove(self._peers[former])
         self._peers[peer.beat.proxy] = peer
         self._capacities = None
-        self._last_alive = self._last_candidates = None
+        self._clear_answers()
         self._id_by_address[peer.address] = peer.beat.proxy
         self._index(peer)
         self._record_newest(peer)
@@ -235,7 +213,7 @@
         proxy = peer.beat.proxy
         del self._peers[proxy]
         self._capacities = None
-        self._last_alive = self._last_candidates = None
+        self._clear_answers()
         if self._id_by_address.get(peer.address) == proxy:
             del self._id_by_address[peer.address]
         for serving in self._serving.values():
@@ -247,7 +225,7 @@
         if peer.beat.capacity != beat.capacity:
             self._capacities = None
         peer.beat = beat
-        self._last_candidates = None
+        self._candidates.clear()
         revision = beat.revision()
         if revision == peer.revision:
             return
@@ -274,13 +252,16 @@
         They lack it if it was not alive then, and hold another expiry if its
         heartbeats now come another way.
         """
+        if relayed != peer.relayed:
+            self._clear_answers()
+            return
         expiry = self._expiry(peer)
-        changed = relayed != peer.relayed
-        alive, candidates = self._last_alive, self._last_candidates
-        if alive is not None and (changed or expiry <= alive.since):
-            self._last_alive = None
-        if candidates is not None and (changed or expiry <= candidates.since):
-            self._last_candidates = None
+        self._alive.clear_since(expiry)
+        self._candidates.clear_since(expiry)
+
+    def _clear_answers(self) -> None:
+        self._alive.clear()
+        self._candidates.clear()
 
     def _record_newest(self, peer: Peer) -> None:
         domain = peer.beat.domain
@@ -299,13 +280,9 @@
 
     def alive(self, now: float) -> list[Peer]:
         """Return the peers that are alive."""
-        last = self._last_alive
-        if last is None or not last.since <= now < last.until:
-            last = self._find_alive(now)
-            self._last_alive = last
-        return list(last.peers)
+        return list(self._alive.get(now))
 
-    def _find_alive(self, now: float) -> _Alive:
+    def _find_alive(self, now: float) -> _cached.Answer[list[Peer]]:
         direct, relayed = now - self._alive_s, now - self._relayed_s
         found = [
             peer
@@ -313,7 +290,7 @@
             if peer.sent_at >= (relayed if peer.relayed else direct)
         ]
         until = min(map(self._expiry, found), default=float('inf'))
-        return _Alive(found, now, until)
+        return _cached.Answer(found, now, until)
 
     def _expiry(self, peer: Peer) -> float:
         """Return the time after which a peer is not alive."""
@@ -391,23 +368,22 @@
         Proxies that were listed recently count, since they may be starting,
         unless another run at their address has sent a heartbeat.
         """
-        last = self._last_candidates
-        if last is None or not last.since <= now < last.until:
-            last = self._find_candidates(now)
-            self._last_candidates = last
-        return {name: set(ids) for name, ids in last.by_domain.items()}
+        found = self._candidates.get(now)
+        return {name: set(ids) for name, ids in found.items()}
 
-    def _find_candidates(self, now: float) -> _Candidates:
+    def _find_candidates(
+        self, now: float
+    ) -> _cached.Answer[dict[str, set[str]]]:
         found: dict[str, set[str]] = {}
         alive = self._find_alive(now)
         until = alive.until
-        for peer in alive.peers:
+        for peer in alive.value:
             if not peer.beat.draining:
                 found.setdefault(peer.beat.domain, set()).add(peer.beat.proxy)
         for listed in self._starting(now):
             found.setdefault(listed.vm.domain, set()).add(listed.vm.id)
             until = min(until, listed.since + self._alive_s)
-        return _Candidates(found, now, until)
+        return _cached.Answer(found, now, until)
 
     def capacities(self) -> Mapping[str, int]:
         """Return the capacities of this proxy and all known or listed ones.
