--- a/src/tidegrade/daemon/_gossip.py
+++ b/src/tidegrade/daemon/_gossip.py
@@ -18,71 +18,18 @@
 import anyio
 import attrs
 
-from tidegrade import core
+from tidegrade.daemon import _digests
+from tidegrade.daemon import _domain_contacts
+from tidegrade.daemon import _pulls
+from tidegrade.daemon import _relays
 from tidegrade.daemon import _roster
-from tidegrade import logs
 from tidegrade.peers import _links
 from tidegrade.peers import _messages as messages
 from tidegrade import ports
 
-#: With fewer other proxies than this, the proxies form a full mesh. The
-#: messages of a mesh grow with the square of the number of proxies.
-MESH_SIZE = 12
-#: Number of relays per failure domain; the second covers the loss of the
-#: first.
-RELAYS = 2
-#: Time for which digests hold a changed heartbeat in full, in seconds: two
-#: digests, so that one may be lost. A proxy that missed both pulls it.
-FULL_HEARTBEAT_S = 1.0
-#: Age from which a heartbeat received directly gets an entry of its own in
-#: digests, in seconds: two intervals. The checksum of a domain carries the
-#: greatest age among its proxies, so an old heartbeat would make all others
-#: look old.
-DIRECT_FRESH_S = 1.0
-#: The same for a heartbeat received through relays, in seconds. Each relay
-#: adds up to one interval; with the limit for direct heartbeats most proxies
-#: would get an entry in each digest.
-RELAYED_FRESH_S = 1.8
-#: Age from which digests leave a heartbeat out, in seconds: by then no proxy
-#: counts its sender as alive.
-DIGEST_AGE_LIMIT_S = 6.0
-#: Time for which a proxy acts as a relay after it received a heartbeat to
-#: pass on, in seconds. While proxies start, their views of the relays differ,
-#: and a heartbeat sent to a proxy that does not relay would be lost.
-RELAY_DUTY_S = 2.0
-#: Silence of a relay of the own domain after which the next proxies in order
-#: act as relays too, in seconds: two intervals, since one digest may be lost,
-#: and a margin for a late one. The relay counts as alive for longer.
-RELAY_SILENCE_S = 1.1
-#: Number of proxies in order of which one may act as a relay, so that the
-#: domain keeps two when several of the first fail at once.
-RELAY_CANDIDATES = 4 * RELAYS
-#: Silence of a domain after which a relay reports the next contact at once,
-#: in seconds: as for a relay.
-CONTACT_LOST_S = 1.1
-#: Age below which relayed heartbeats in a digest without contacts count as a
-#: contact, in seconds. Older proxies send no contacts, and their digests may
-#: repeat heartbeats of a domain that is cut off.
-UNREPORTED_CONTACT_AGE_S = 2.0
-#: Time for which a relay sends digests to a proxy of another domain that sent
-#: it some without being a known relay, in seconds.
-STAND_IN_S = 1.2
 #: Time for which a relay collects urgent changes before it forwards them, in
 #: seconds: many proxies change for one cause at about the same time.
 URGENT_DELAY_S = 0.02
-#: Shortest interval between pulls of one domain's heartbeats from the same
-#: proxy, in seconds: about twice the interval between its digests.
-PULL_INTERVAL_S = 1.0
-#: Silence after which a pull fails, in seconds.
-PULL_TIMEOUT_S = 0.5
-
-
-@attrs.frozen
-class _Pull:
-    """A pull of the heartbeats of ``domain`` from ``proxy``."""
-
-    proxy: str
-    domain: str
 
 
 class Gossip:
@@ -104,32 +51,22 @@
         self._links = links
         self._clock = clock
         self._rng = rng
-        self._relay_requested_at = float('-inf')
-        #: As of the last heartbeat of this proxy: whether it used a full
-        #: mesh, the relays of its domain, and those that act as such, which
-        #: may stand in for silent ones.
-        self._was_mesh = True
-        self._own_relays: tuple[str, ...] = ()
-        self._acting_relays: tuple[str, ...] = ()
-        #: When relays of the own domain last sent a digest, and since when
-        #: they are expected to.
-        self._relay_heard_at: dict[str, float] = {}
-        self._relay_expected_at: dict[str, float] = {}
-        #: When proxies of other domains that are no known relays there sent
-        #: digests to this one, which is a relay.
-        self._stand_ins: dict[str, float] = {}
-        self._contact_regained = False
-        self._own_beat: messages.Heartbeat | None = None
-        self._own_beat_at = float('-inf')
-        self._own_revision = 0
-        self._own_changed_at = float('-inf')
+        self._relays = _relays.Relays(identity, roster, clock)
+        self._digests = _digests.Digests(identity, roster, clock)
         self._urgent_changes: dict[str, messages.AgedHeartbeat] = {}
-        self._scheduled_pulls: set[_Pull] = set()
-        self._pulled_at: dict[_Pull, float] = {}
-        #: Pulls for which the last digest's checksum did not match. A pull is
-        #: scheduled when the next one does not match either.
-        self._mismatched: set[_Pull] = set()
         self._wakeup = anyio.Event()
+        self._contacts = _domain_contacts.DomainContacts(
+            identity,
+            roster,
+            self._relays,
+            self._digests,
+            links,
+            clock,
+            self._wake,
+        )
+        self._pulls = _pulls.Pulls(
+            identity, roster, links, clock, self._store_pulled, self._wake
+        )
 
     async def run(self) -> None:
         """Forward urgent changes and run scheduled pulls until cancelled."""
@@ -140,15 +77,14 @@
                 self._wakeup = anyio.Event()
                 self.flush()
                 for pull in self.take_pulls():
-                    tasks.start_soon(self._pull, pull)
+                    tasks.start_soon(self._pulls.run, pull)
 
     def flush(self) -> None:
         """Forward the urgent changes collected since the last call."""
-        if self._contact_regained:
-            self._contact_regained = False
+        if self._contacts.take_regained():
             self._send_within_domain(
                 messages.Digest(
-                    sender=self._identity.proxy, contacts=self._contacts()
+                    sender=self._identity.proxy, contacts=self._contacts.own()
                 )
             )
         news, self._urgent_changes = tuple(self._urgent_changes.values()), {}
@@ -159,30 +95,24 @@
         if inside:
             self._send_to_other_domains(messages.Digest(tuple(inside)))
 
+    def _wake(self) -> None:
+        """Have urgent changes forwarded and scheduled pulls run soon."""
+        self._wakeup.set()
+
     # Sending --------------------------------------------------------------
 
     def send(self, beat: messages.Heartbeat) -> None:
         """Send this proxy's own heartbeat to all proxies or to its relays."""
-        self._update_own(beat)
-        self._was_mesh = self._uses_mesh()
-        if self._was_mesh:
+        self._digests.update_own(beat)
+        self._relays.update()
+        if self._relays.was_mesh:
             for address in self._roster.addresses():
                 self._links.post(address, beat)
             return
-        self._choose_acting_relays()
         to_relay = attrs.evolve(beat, pass_on=True)
-        for proxy in {*self._own_relays, *self._acting_relays}:
+        for proxy in {*self._relays.own, *self._relays.acting}:
             self._post(proxy, to_relay)
 
-    def _update_own(self, beat: messages.Heartbeat) -> None:
-        self._own_beat_at = self._clock.now()
-        if beat == self._own_beat:
-            return
-        revision = beat.revision()
-        if revision != self._own_revision:
-            self._own_changed_at = self._clock.now()
-        self._own_beat, self._own_revision = beat, revision
-
     def send_digest(self, own: messages.Heartbeat) -> None:
         """Send digests, if this proxy is a relay.
 
@@ -190,112 +120,46 @@
         between domains is billed. The second relay there gets its digest from
         the second relay of this domain.
         """
-        if not self.is_relay():
+        if not self._relays.is_relay():
             return
-        self._update_own(own)
+        self._digests.update_own(own)
         domains = self._roster.domains() | {self._identity.domain}
-        inside = self._digest(domains, own)
+        inside = self._digests.build(domains, own)
         self._send_within_domain(
-            attrs.evolve(inside, contacts=self._contacts())
+            attrs.evolve(inside, contacts=self._contacts.own())
         )
         # Holds this proxy's heartbeat in full: a recipient that does not know
         # this proxy has no address to pull from, and two domains that restart
         # together would never learn of each other.
-        outside = self._digest({self._identity.domain}, own, own_in_full=True)
-        own_place = self._relay_index()
+        outside = self._digests.build(
+            {self._identity.domain}, own, own_in_full=True
+        )
+        own_place = self._relays.own_index()
         for domain in domains - {self._identity.domain}:
-            relays = self.relays(domain)
+            relays = self._relays.of(domain)
             if relays:
                 self._post(relays[own_place % len(relays)], outside)
             else:
                 self._send_to_listed(domain, outside)
-        for proxy in self._current_stand_ins():
+        for proxy in self._contacts.stand_ins():
             self._post(proxy, outside)
 
-    def _current_stand_ins(self) -> list[str]:
-        """Return the proxies of other domains that stand in for relays."""
-        oldest = self._clock.now() - STAND_IN_S
-        self._stand_ins = {
-            proxy: at
-            for proxy, at in self._stand_ins.items()
-            if at >= oldest and not self._is_relay_elsewhere(proxy)
-        }
-        return list(self._stand_ins)
-
-    def _is_relay_elsewhere(self, proxy: str) -> bool:
-        return proxy in self.relays(self._roster.domain_of(proxy))
-
-    def _contacts(self) -> tuple[messages.DomainContact, ...]:
-        """Return this proxy's own contacts with the other domains."""
-        ages = self._roster.contacts.direct_ages(self._clock.now())
-        return tuple(messages.DomainContact(*found) for found in ages.items())
-
-    def _relay_index(self) -> int:
-        """Return this proxy's index among the relays of its domain.
-
-        It is 0 for a proxy that relays only because others chose it.
-        """
-        if self._identity.proxy not in self._acting_relays:
-            return 0
-        return self._acting_relays.index(self._identity.proxy)
-
     def announce(self, body: messages.Announcement) -> None:
         """Send a message to all proxies, directly or through the relays."""
-        if self._uses_mesh():
+        if self._relays.uses_mesh():
             for address in self._roster.addresses():
                 self._links.post(address, body)
             return
         to_relay = attrs.evolve(body, pass_on=True)
         self._send_to_other_domains(to_relay)
-        own_relays = self.relays(self._identity.domain)
-        for proxy in {*own_relays, *self._acting_relays}:
+        own_relays = self._relays.of(self._identity.domain)
+        for proxy in {*own_relays, *self._relays.acting}:
             self._post(proxy, to_relay)
 
     def pass_on(self, body: messages.Announcement) -> None:
         """Forward a message to the other proxies of this failure domain."""
         self._send_within_domain(attrs.evolve(body, pass_on=False))
 
-    def _digest(
-        self,
-        domains: frozenset[str] | set[str],
-        own: messages.Heartbeat,
-        own_in_full: bool = False,
-    ) -> messages.Digest:
-        """Return a digest of the heartbeats known of ``domains``.
-
-        With ``own_in_full`` it holds ``own``, this proxy's heartbeat, in full.
-        """
-        now = self._clock.now()
-        news = []
-        alive = []
-        builders = {
-            domain: _SummaryBuilder(domain) for domain in sorted(domains)
-        }
-        if own_in_full or now - self._own_changed_at < FULL_HEARTBEAT_S:
-            news.append(messages.AgedHeartbeat(own, 0.0))
-        else:
-            builders[self._identity.domain].add(self._own_revision, 0.0)
-        for peer in self._roster.known():
-            age = max(0.0, now - peer.sent_at)
-            if age > DIGEST_AGE_LIMIT_S or peer.beat.domain not in domains:
-                continue
-            if now - peer.changed_at < FULL_HEARTBEAT_S:
-                news.append(messages.AgedHeartbeat(peer.beat, age))
-            elif age > (RELAYED_FRESH_S if peer.relayed else DIRECT_FRESH_S):
-                alive.append(
-                    messages.AliveProxy(peer.beat.proxy, age, peer.revision)
-                )
-            else:
-                builders[peer.beat.domain].add(peer.revision, age)
-        return messages.Digest(
-            tuple(news),
-            tuple(alive),
-            tuple(b.build() for b in builders.values() if b.count),
-            self._identity.proxy,
-            own.config_version,
-            own.config_age,
-        )
-
     def _send_within_domain(self, body: messages.PeerBody) -> None:
         """Send to the other proxies of this failure domain."""
         for peer in self._roster.alive(self._clock.now()):
@@ -305,7 +169,7 @@
     def _send_to_other_domains(self, body: messages.PeerBody) -> None:
         """Send to the relays of the other failure domains."""
         for domain in self._roster.domains() - {self._identity.domain}:
-            relays = self.relays(domain)
+            relays = self._relays.of(domain)
             for proxy in relays:
                 self._post(proxy, body)
             if not relays:
@@ -314,7 +178,7 @@
     def _send_to_listed(self, domain: str, body: messages.PeerBody) -> None:
         """Send to some listed addresses of a domain without a known relay."""
         listed = self._roster.listed(domain)
-        few = min(RELAYS, len(listed))
+        few = min(_relays.RELAYS, len(listed))
         for address in self._rng.sample(listed, few):
             self._links.post(address, body)
 
@@ -328,14 +192,14 @@
     def receive_heartbeat(self, beat: messages.Heartbeat) -> None:
         """Store a heartbeat received directly from its proxy."""
         now = self._clock.now()
-        self._record_direct_contact(beat.domain, now)
+        self._contacts.record_direct(beat.domain, now)
         if beat.pass_on:
-            self._relay_requested_at = now
+            self._relays.record_request(now)
             beat = attrs.evolve(beat, pass_on=False)
-        elif not self._uses_mesh() and not self.is_relay():
+        elif not self._relays.uses_mesh() and not self._relays.is_relay():
             # The sender does not know the relays yet, nor they the sender.
             address = _links.Address(beat.host, beat.port)
-            self._send_relays(beat.domain, address)
+            self._contacts.send_relays(beat.domain, address)
         self._store(messages.AgedHeartbeat(beat, 0.0), now, False)
 
     def receive_digest(self, digest: messages.Digest) -> None:
@@ -345,7 +209,7 @@
         introduced = [
             aged.beat.proxy
             for aged in digest.news
-            if self._is_introduced(aged.beat, digest)
+            if self._contacts.is_introduced(aged.beat, digest)
         ]
         for aged in digest.news:
             self._store(aged, now, aged.beat.proxy != digest.sender)
@@ -355,159 +219,18 @@
         self._roster.record_config(
             digest.sender, digest.config_version, digest.config_age, now
         )
-        self._introduce_own_relays(digest)
+        self._contacts.introduce_own_relays(digest)
         named = digest.named()
         for roll in digest.rolls:
-            own = self._own_revision if self._is_counted_in(roll, named) else 0
-            pull = _Pull(digest.sender, roll.domain)
+            own = self._digests.own_revision_in(roll, named)
+            pull = _pulls.Pull(digest.sender, roll.domain)
             if self._roster.match_summary(roll, named, own, now):
-                self._mismatched.discard(pull)
-            elif pull in self._mismatched:
-                self._schedule_pull(pull, now)
+                self._pulls.record_match(pull)
             else:
-                # The first mismatch may only be a race: this proxy may have
-                # got a change from another relay before this one forwards it.
-                self._mismatched.add(pull)
-        self._record_contacts(digest, newest, now)
+                self._pulls.record_mismatch(pull, now)
+        self._contacts.record(digest, newest, now)
         for proxy in introduced:
-            self._send_own(proxy)
-
-    # Contact with other domains -------------------------------------------
-
-    def relays_heard_at(self) -> float | None:
-        """Return the time by which each relay of this domain was heard.
-
-        Contacts before that time are known. None in a full mesh, where this
-        proxy is itself in contact with other domains.
-        """
-        if self._was_mesh:
-            return None
-        if self._identity.proxy in self._own_relays:
-            return self._clock.now()
-        never = float('-inf')
-        return min(
-            (self._relay_heard_at.get(p, never) for p in self._acting_relays),
-            default=never,
-        )
-
-    def _record_direct_contact(self, domain: str, now: float) -> None:
-        if domain == self._identity.domain:
-            return
-        last = self._roster.contacts.last(domain)
-        self._roster.contacts.record_direct(domain, now)
-        lost = last is None or now - last >= CONTACT_LOST_S
-        if lost and self.is_relay():
-            self._contact_regained = True
-            self._wakeup.set()
-
-    def _record_contacts(
-        self, digest: messages.Digest, newest: dict[str, float], now: float
-    ) -> None:
-        """Record contact with the sender's domain, or those that it states.
-
-        ``newest`` holds when the newest heartbeat of each domain had been
-        sent as far as it was known before this digest.
-        """
-        domain = self._roster.domain_of(digest.sender)
-        if not domain:
-            return
-        if domain != self._identity.domain:
-            self._record_direct_contact(domain, now)
-            self._answer_stand_in(digest, now)
-            return
-        for contact in digest.contacts:
-            if contact.domain != domain:
-                self._roster.contacts.record_report(
-                    contact.domain, now - contact.age
-                )
-        if not digest.contacts:
-            self._count_heartbeats_as_contacts(newest, now)
-        if digest.rolls or digest.contacts:
-            self._relay_heard_at[digest.sender] = now
-
-    def _count_heartbeats_as_contacts(
-        self, newest: dict[str, float], now: float
-    ) -> None:
-        """Record contact with each domain that a newer heartbeat is of."""
-        for domain, at in self._roster.newest_heartbeats().items():
-            if domain == self._identity.domain or at <= newest.get(domain, 0):
-                continue
-            if now - at < UNREPORTED_CONTACT_AGE_S:
-                self._roster.contacts.record_report(domain, now)
-
-    def _is_introduced(
-        self, beat: messages.Heartbeat, digest: messages.Digest
-    ) -> bool:
-        """Return whether a digest introduces a relay of another domain.
-
-        See :meth:`_introduce_own_relays`. The relay is sent a heartbeat at
-        once, since its domain may have been out of contact.
-        """
-        return (
-            not digest.rolls
-            and digest.sender != ''
-            and beat.proxy != digest.sender
-            and beat.domain != self._identity.domain
-            and beat.proxy not in self.relays(beat.domain)
-        )
-
-    def _answer_stand_in(self, digest: messages.Digest, now: float) -> None:
-        """Send digests to a proxy that stands in for relays of its domain.
-
-        It needs them to be in contact with this domain, and this relay does
-        not choose it while the failed relays count as alive.
-        """
-        if not digest.rolls or self._uses_mesh() or not self.is_relay():
-            return
-        if self._is_relay_elsewhere(digest.sender):
-            return
-        if digest.sender not in self._stand_ins:
-            self._send_own(digest.sender)
-        self._stand_ins[digest.sender] = now
-
-    def _send_own(self, proxy: str) -> None:
-        """Send this proxy's own heartbeat to a proxy of another domain."""
-        if self._own_beat is None or not self.is_relay():
-            return
-        age = self._clock.now() - self._own_beat_at
-        self._post(
-            proxy,
-            messages.Digest(
-                (messages.AgedHeartbeat(self._own_beat, age),),
-                sender=self._identity.proxy,
-            ),
-        )
-
-    def answer_pull(self, request: messages.AskDomain) -> messages.Digest:
-        """Return the heartbeats of a failure domain that the sender lacks.
-
-        For heartbeats that the sender has, the digest only states that their
-        proxies are alive. With 40 proxies in a domain, two of them new, this
-        takes a quarter of the bytes.
-        """
-        now = self._clock.now()
-        known = frozenset(request.known)
-        news, alive = [], []
-        for peer in self._roster.alive(now):
-            if peer.beat.domain != request.domain:
-                continue
-            age = max(0.0, now - peer.sent_at)
-            if peer.revision in known:
-                alive.append(
-                    messages.AliveProxy(peer.beat.proxy, age, peer.revision)
-                )
-            else:
-                news.append(messages.AgedHeartbeat(peer.beat, age))
-        return messages.Digest(
-            tuple(news), tuple(alive), sender=self._identity.proxy
-        )
-
-    def _is_counted_in(
-        self, roll: messages.Roll, named: frozenset[str]
-    ) -> bool:
-        if roll.domain != self._identity.domain:
-            return False
-        return self._identity.proxy not in named
+            self._contacts.send_own(proxy)
 
     def _store(
         self, aged: messages.AgedHeartbeat, at: float, relayed: bool
@@ -523,188 +246,52 @@
             is None
         ):
             return
-        if beat.urgent() != before and self.is_relay():
+        if beat.urgent() != before and self._relays.is_relay():
             self._urgent_changes[beat.proxy] = aged
-            self._wakeup.set()
-
-    def _introduce_own_relays(self, digest: messages.Digest) -> None:
-        """Send the relays of this domain to a relay of another domain.
-
-        That relay sends digests to other proxies only while it knows no relay
-        here, as after a network partition.
-        """
-        if not digest.rolls or self._uses_mesh() or self.is_relay():
-            return
-        sender = self._roster.get(digest.sender)
-        if sender is not None and sender.beat.domain != self._identity.domain:
-            self._send_relays(self._identity.domain, sender.address)
-
-    def _send_relays(self, domain: str, to: _links.Address) -> None:
-        """Send the heartbeats of a domain's relays to another proxy."""
-        now = self._clock.now()
-        peers = map(self._roster.get, self.relays(domain))
-        news = tuple(
-            messages.AgedHeartbeat(peer.beat, max(0.0, now - peer.sent_at))
-            for peer in peers
-            if peer is not None
-        )
-        self._links.post(
-            to, messages.Digest(news, sender=self._identity.proxy)
-        )
+            self._wake()
 
-    # Pulling --------------------------------------------------------------
-
-    def _schedule_pull(self, pull: _Pull, now: float) -> None:
-        pulled_at = self._pulled_at.get(pull, float('-inf'))
-        if pull.proxy and now - pulled_at >= PULL_INTERVAL_S:
-            self._pulled_at[pull] = now
-            logs.write_bounded(
-                logs.LogEvent.DOMAIN_DIFFERS,
-                peer=pull.proxy,
-                domain=pull.domain,
-            )
-            self._scheduled_pulls.add(pull)
-            self._wakeup.set()
-
-    def take_pulls(self) -> list[_Pull]:
-        """Return the scheduled pulls and clear them."""
-        pulls, self._scheduled_pulls = self._scheduled_pulls, set()
-        return list(pulls)
-
-    async def _pull(self, pull: _Pull) -> None:
-        address = self.address_of(pull)
-        if address is None:
-            return
-        pulled_at = self._clock.now()
-        pulled = await self._links.fetch(
-            address, self.pull_message(pull.domain), PULL_TIMEOUT_S
-        )
-        if isinstance(pulled.answer, messages.Digest):
-            self.receive_pulled(pulled.answer, pulled_at)
-
-    def address_of(self, pull: _Pull) -> _links.Address | None:
-        """Return the address to pull from, None if it is not known."""
-        return self._roster.address_of(pull.proxy)
-
-    def pull_message(self, domain: str) -> messages.AskDomain:
-        """Return the message that pulls the heartbeats of a domain.
-
-        It holds the revisions known here, which need not be sent again.
-        """
-        known = (
-            peer.revision
-            for peer in self._roster.known()
-            if peer.beat.domain == domain
-        )
-        return messages.AskDomain(domain, tuple(known))
-
-    def receive_pulled(
-        self, digest: messages.Digest, pulled_at: float
+    def _store_pulled(
+        self, aged: messages.AgedHeartbeat, pulled_at: float
     ) -> None:
-        """Store the heartbeats that a pull returned.
-
-        Their ages count from the time at which the pull was sent, so a slow
-        answer cannot make a silent proxy look alive.
-        """
-        for aged in digest.news:
-            self._store(aged, pulled_at, True)
-        for entry in digest.alive:
-            self._roster.refresh_unchanged(
-                entry.proxy, entry.revision, pulled_at - entry.age
-            )
+        self._store(aged, pulled_at, True)
 
     # Relays ---------------------------------------------------------------
 
-    def _uses_mesh(self) -> bool:
-        candidates = self._roster.candidates(self._clock.now())
-        return sum(map(len, candidates.values())) < MESH_SIZE
-
     def is_relay(self) -> bool:
         """Return whether this proxy acts as a relay."""
-        if self._uses_mesh():
-            return False
-        if self._clock.now() - self._relay_requested_at < RELAY_DUTY_S:
-            return True
-        if self._identity.proxy in self._acting_relays:
-            return True
-        return self._identity.proxy in self.relays(self._identity.domain)
+        return self._relays.is_relay()
 
     def relays(self, domain: str) -> tuple[str, ...]:
-        """Return the relays of a failure domain.
-
-        They are the proxies with the largest VMs, since relays send the most;
-        rendezvous hashing decides between VMs of equal capacity.
-        This proxy may be one of them. Proxies that were listed recently but
-        have sent no heartbeat yet count too, since they may be restarted
-        relays.
-        """
-        return self._ranked(domain, RELAYS)
-
-    def _ranked(self, domain: str, count: int) -> tuple[str, ...]:
-        candidates = self._roster.candidates(self._clock.now())
-        proxies = candidates.get(domain, set())
-        if domain == self._identity.domain:
-            proxies = proxies | {self._identity.proxy}
-        return core.largest_first(
-            f'relay {domain}', proxies, self._roster.capacities(), count
-        )
+        """Return the relays of a failure domain."""
+        return self._relays.of(domain)
 
-    def _choose_acting_relays(self) -> None:
-        """Choose the proxies that act as relays of this domain.
+    def relays_heard_at(self) -> float | None:
+        """Return the time by which each relay of this domain was heard.
 
-        They are the first in order that are not silent.
+        None in a full mesh.
         """
-        now = self._clock.now()
-        acting: list[str] = []
-        expected_at: dict[str, float] = {}
-        heard_at: dict[str, float] = {}
-        ranked = self._ranked(self._identity.domain, RELAY_CANDIDATES)
-        for proxy in ranked:
-            if len(acting) == RELAYS:
-                break
-            if proxy == self._identity.proxy:
-                acting.append(proxy)
-                continue
-            expected_at[proxy] = self._relay_expected_at.get(proxy, now)
-            heard_at[proxy] = self._relay_heard_at.get(proxy, float('-inf'))
-            silent_since = max(expected_at[proxy], heard_at[proxy])
-            if now - silent_since < RELAY_SILENCE_S:
-                acting.append(proxy)
-        self._own_relays = ranked[:RELAYS]
-        was_standing_in = self._is_standing_in()
-        self._acting_relays = tuple(acting)
-        if self._is_standing_in() and not was_standing_in:
-            logs.write(
-                logs.LogEvent.RELAYS_SILENT,
-                silent=[p for p in self._own_relays if p not in acting],
-            )
-        self._relay_expected_at = expected_at
-        self._relay_heard_at = heard_at
+        return self._relays.heard_at()
 
-    def _is_standing_in(self) -> bool:
-        own = self._identity.proxy
-        return own in self._acting_relays and own not in self._own_relays
+    # Pulls ----------------------------------------------------------------
 
+    def take_pulls(self) -> list[_pulls.Pull]:
+        """Return the scheduled pulls and clear them."""
+        return self._pulls.take()
 
-@attrs.define
-class _SummaryBuilder:
-    """Builds the summary of a domain's unchanged heartbeats.
-
-    ``revisions`` is the exclusive or of their revisions, ``age`` the greatest
-    age in seconds.
-    """
+    def address_of(self, pull: _pulls.Pull) -> _links.Address | None:
+        """Return the address to pull from, None if it is not known."""
+        return self._pulls.address_of(pull)
 
-    domain: str
-    count: int = 0
-    revisions: int = 0
-    age: float = 0.0
+    def pull_message(self, domain: str) -> messages.AskDomain:
+        """Return the message that pulls the heartbeats of a domain."""
+        return self._pulls.message(domain)
 
-    def add(self, revision: int, age: float) -> None:
-        """Add a heartbeat that was sent ``age`` seconds ago."""
-        self.count += 1
-        self.revisions ^= revision
-        self.age = max(self.age, age)
+    def receive_pulled(
+        self, digest: messages.Digest, pulled_at: float
+    ) -> None:
+        """Store the heartbeats that a pull sent at ``pulled_at`` returned."""
+        self._pulls.receive(digest, pulled_at)
 
-    def build(self) -> messages.Roll:
-        """Return the summary as a digest holds it."""
-        return messages.Roll(self.domain, self.count, self.revisions, self.age)
+    def answer_pull(self, request: messages.AskDomain) -> messages.Digest:
+        """Return the heartbeats of a failure domain that the sender lacks."""
+        return self._pulls.answer(request)
