--- a/src/tidegrade/core/health/_work.py
+++ b/src/tidegrade/core/health/_work.py
@@ -1,16 +1,13 @@
 """Circuit breaker for endpoints that answer polls but fail statements.
 
 Such a gray failure is invisible to the failure detector, which sees an
-endpoint that answers. On a day with one, a primary reset every connection on
-which a caller's statement arrived, and answered each poll: its group served
-nothing for five seconds, each read was tried up to 17 times on new
-connections, and these took the connections that the polls needed.
-
-The load that this answers: every statement fails, while each waiting request
-would open another connection at once. After a few failures in a row the
-endpoint gets single trial statements only, and one success closes the
-breaker. Failures of connections count, not errors of statements: a caller
-with a wrong statement must not take an endpoint away from others.
+endpoint that answers. Every statement fails, and each waiting request would
+open another connection at once, so that none is left for polls.
+
+After a few failures in a row the endpoint gets single trial statements only,
+and one success closes the breaker. Failures of connections count, not errors
+of statements: a caller with a wrong statement must not take an endpoint away
+from others. See docs/design/gray-failures.md.
 """
 
 import attrs
@@ -36,8 +33,8 @@
 #: would count as one long failure.
 EVIDENCE_MAX_AGE_S = 10.0
 #: Shortest time that a statement must have had for its time-out to count, in
-#: seconds (chosen, not measured). A time-out after less says nothing of the
-#: endpoint: the request had used up its time limit before it was sent.
+#: seconds. A time-out after less says nothing of the endpoint: the request
+#: had used up its time limit before it was sent.
 MIN_TIMEOUT_S = 0.1
 
 
--- a/src/tidegrade/core/waiting/_window.py
+++ b/src/tidegrade/core/waiting/_window.py
@@ -20,10 +20,9 @@
 #: A response counts as slow from this many times the time of an unloaded
 #: endpoint on: the statement waited for as long as it ran.
 SLOW_RATIO = 2.0
-#: The limit grows after responses below this many times that time only. With
-#: ``SLOW_RATIO`` instead, six homes went on growing and shrinking in turn: of
-#: urgent statements of 20 ms, 86 to 89 % were in time, with this 91 to 95 %
-#: (five seeds each of tests/core/test_window.py).
+#: The limit grows after responses below this many times that time only. It is
+#: less than ``SLOW_RATIO``, or homes that share an overloaded endpoint would go
+#: on growing and shrinking in turn.
 FAST_RATIO = 1.5
 #: A faster response always counts as fast, in seconds: about the time of one
 #: statement, and more than the usual scheduling delay of a small VM.
@@ -38,8 +37,8 @@
 #: taken for the endpoint's usual speed.
 UNLOADED_RISE_PER_S = 0.01
 #: How long the limit doesn't grow after BUSY, in seconds, and the interval
-#: between increases while the unloaded time is unknown. If each of 24 homes
-#: is refused once in it, that is 1.2 % of 200 statements per second.
+#: between increases while the unloaded time is unknown: if each of 24 homes is
+#: refused once in it, few of an endpoint's statements are.
 HOLD_S = 10.0
 #: Time after which a statement counts as hung if the endpoint has answered a
 #: job that was sent later, in seconds: by then it has been polled on another
--- a/src/tidegrade/peers/_forwarding.py
+++ b/src/tidegrade/peers/_forwarding.py
@@ -1,7 +1,7 @@
 """JSON of requests that are forwarded to other proxies, and of answers.
 
-Cap'n Proto fields for each part were measured and are slower: reading a
-request took 23 us of processor time, its JSON takes 9. Fields with their
+Cap'n Proto fields for each part would be slower to read and write than JSON.
+Fields with their
 default value are left out; proxies of all versions read them as the default.
 """
 
