--- a/src/tidegrade/core/waiting/_window.py
+++ b/src/tidegrade/core/waiting/_window.py
@@ -21,8 +21,8 @@
 #: endpoint on: the statement waited for as long as it ran.
 SLOW_RATIO = 2.0
 #: The limit grows after responses below this many times that time only. It is
-#: less than ``SLOW_RATIO``, or homes that share an overloaded endpoint would go
-#: on growing and shrinking in turn.
+#: less than ``SLOW_RATIO``, or homes that share an overloaded endpoint would
+#: go on growing and shrinking in turn.
 FAST_RATIO = 1.5
 #: A faster response always counts as fast, in seconds: about the time of one
 #: statement, and more than the usual scheduling delay of a small VM.
--- a/src/tidegrade/peers/_forwarding.py
+++ b/src/tidegrade/peers/_forwarding.py
@@ -1,8 +1,8 @@
 """JSON of requests that are forwarded to other proxies, and of answers.
 
 Cap'n Proto fields for each part would be slower to read and write than JSON.
-Fields with their
-default value are left out; proxies of all versions read them as the default.
+Fields with their default value are left out; proxies of all versions read them
+as the default.
 """
 
 from collections.abc import Callable
