--- a/src/tidegrade/adapters/_metrics.py
+++ b/src/tidegrade/adapters/_metrics.py
@@ -106,10 +106,6 @@
             'tidegrade_endpoint_connections',
             'Connections held, by site, group and endpoint.',
         )
-        self.windows = self._gauge(
-            'tidegrade_endpoint_window',
-            'Limit on statements in flight, by site, group and endpoint.',
-        )
         self.term = self._gauge('tidegrade_group_term', 'Term of each group.')
         self.waiting = self._gauge(
             'tidegrade_group_waiting',
--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -38,7 +38,6 @@
 from tidegrade.core._events import RowReceived
 from tidegrade.core._events import RunJob
 from tidegrade.core._events import Tick
-from tidegrade.core._events import WindowChanged
 from tidegrade.core._events import WorkHealthChanged
 from tidegrade.core._evidence import Evidence
 from tidegrade.core._evidence import MemberGrant
@@ -218,7 +217,6 @@
     'Tick',
     'Trace',
     'Traits',
-    'WindowChanged',
     'WorkHealthChanged',
     'WriteJob',
     'expected_homes',
--- a/src/tidegrade/core/_dispatch.py
+++ b/src/tidegrade/core/_dispatch.py
@@ -48,8 +48,7 @@
         """
         ahead = self._ahead_of(pending, now)
         late = ahead > 0 and self._is_too_late(pending, ahead, now)
-        full = self.waiting >= self._state.cfg.queue_limit
-        if late or (full and not self._make_room(pending, now)):
+        if late or self.waiting >= self._state.cfg.queue_limit:
             self._registry.refuse(pending, _types.Code.OVERLOADED, ahead=ahead)
             return
         self._queue_of(pending).push(pending.req.queue_key, pending)
@@ -84,36 +83,6 @@
         times = (pending.not_before for pending in self._parked)
         return min(times, default=float('inf'))
 
-    def _make_room(self, pending: _pending.Pending, now: float) -> bool:
-        """Refuse the request that would be served last, if it is worse.
-
-        It is late or less urgent than the new request, and was never sent.
-        """
-        unsent = (
-            other
-            for queue in (self._reads, self._primary)
-            for other in queue
-            if not other.tries
-        )
-        last = max(
-            unsent,
-            key=lambda other: self._rank(other, now).within_tenant,
-            default=None,
-        )
-        if last is None:
-            return False
-        own = self._rank(pending, now).across_tenants
-        if self._rank(last, now).across_tenants <= own:
-            return False
-        self.discard(last)
-        self._registry.refuse(
-            last,
-            _types.Code.OVERLOADED,
-            'a more urgent request took its place in a full queue',
-            ahead=self.waiting,
-        )
-        return True
-
     def _rank(self, pending: _pending.Pending, now: float) -> _order.Rank:
         service = self._registry.service.mean
         return _order.rank_of(pending, service, now)
@@ -139,13 +108,10 @@
         """Return how many connections serve the queue of a request."""
         row = self._state.row
         primary = row.primary if row is not None else ''
-        names = [primary]
-        if self._queue_of(pending) is not self._primary:
-            names = [n for n in self._state.pool.endpoints() if n != primary]
-        return sum(
-            self._state.width_of(name, len(self._state.pool.of(name)))
-            for name in names
-        )
+        held = len(self._state.pool.of(primary))
+        if self._queue_of(pending) is self._primary:
+            return held
+        return sum(1 for _ in self._state.pool) - held
 
     def _queue_of(
         self, pending: _pending.Pending
--- a/src/tidegrade/core/_events.py
+++ b/src/tidegrade/core/_events.py
@@ -7,7 +7,6 @@
 from tidegrade.core import _jobs
 from tidegrade.core import _row
 from tidegrade.core import _types
-from tidegrade.core.waiting import _window
 
 # Events -------------------------------------------------------------------
 
@@ -244,14 +243,6 @@
     failing: bool
 
 
-@attrs.frozen
-class WindowChanged:
-    """The limit on statements in flight at an endpoint has changed."""
-
-    endpoint: str
-    change: _window.Change
-
-
 @attrs.frozen
 class ControlEnded:
     """A supervisor's job has ended."""
@@ -268,6 +259,5 @@
     | Reply
     | FetchRow
     | WorkHealthChanged
-    | WindowChanged
     | ControlEnded
 )
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -122,11 +122,6 @@
         """Return the number of connections to an endpoint."""
         return len(self._state.pool.of(endpoint))
 
-    def window_limit(self, endpoint: str) -> int | None:
-        """Return the limit on statements in flight; None without one."""
-        window = self._state.window(endpoint)
-        return None if window is None else window.limit
-
     def considers_primary_down(self, now: float) -> bool:
         """Return whether this proxy considers the primary down."""
         state = self._state
@@ -279,10 +274,8 @@
 
         An endpoint that fails statements may still begin transactions.
         """
-        job = conn.job
-        if isinstance(job, _jobs.CALLER_JOBS):
-            self._state.record_response(conn, outcome, now)
         done = isinstance(outcome, _jobs.JobDone)
+        job = conn.job
         if done and isinstance(job, _jobs.StartJob) and not job.statements:
             return
         if isinstance(job, _jobs.CALLER_JOBS):
@@ -423,8 +416,6 @@
         state.cfg = event.cfg
         shares = _shares.shares_of(event.cfg, event.max_proxies)
         state.pool.set_shares(shares)
-        state.homes = event.max_proxies
-        state.resize_windows()
         for name in event.cfg.endpoints:
             state.views.setdefault(name, _view.EndpointView(name))
         for conn in state.pool:
@@ -523,7 +514,6 @@
         self._refuse_overdue(now)
         self._close_spare_conns(now)
         self._polls.poll_due(now)
-        self._state.report_windows(now)
 
     def _close_overdue_conns(self, now: float) -> None:
         for conn in self._polls.overdue_openings(now):
--- a/src/tidegrade/core/_pending.py
+++ b/src/tidegrade/core/_pending.py
@@ -39,11 +39,6 @@
     abandoned: bool = False
     needs_permission: bool = False
 
-    @property
-    def priority(self) -> int:
-        """The priority of the request; 0 is the most urgent."""
-        return self.req.priority
-
     @property
     def safe_to_retry(self) -> bool:
         """Whether the request can safely run a second time."""
--- a/src/tidegrade/core/_pool.py
+++ b/src/tidegrade/core/_pool.py
@@ -82,10 +82,6 @@
         """Return the connections to an endpoint, including closing ones."""
         return list(self._by_endpoint.get(endpoint, ()))
 
-    def endpoints(self) -> list[str]:
-        """Return the endpoints that there have been connections to."""
-        return list(self._by_endpoint)
-
     def share(self, endpoint: str) -> _shares.Share:
         """Return this proxy's share of an endpoint's connections."""
         return self._shares.get(endpoint, _EMPTY_SHARE)
@@ -134,17 +130,6 @@
         conns = self._by_endpoint.get(endpoint, ())
         return sum(conn.state is not ConnState.IDLE for conn in conns)
 
-    def running_count(self, endpoint: str, since: float) -> int:
-        """Return how many statements sent after ``since`` are running.
-
-        Only statements of callers count.
-        """
-        conns = self._by_endpoint.get(endpoint, ())
-        return sum(
-            conn.sent_at > since and isinstance(conn.job, _jobs.CALLER_JOBS)
-            for conn in conns
-        )
-
     def in_use(self, endpoint: str) -> bool:
         """Return whether a connection is in use and may become idle."""
         busy = (ConnState.BUSY, ConnState.PINNED)
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -211,9 +211,9 @@
             fresh_at=state.samples.fresh_at(applied),
             delay=view.apply_delay,
             round_trip=view.round_trip,
-            has_idle_conn=state.idle_conn(name, tenant) is not None,
+            has_idle_conn=state.pool.idle(name, tenant) is not None,
             load=state.pool.busy_count(name),
-            slots=state.width_of(name, endpoint.slots),
+            slots=endpoint.slots,
             slow=slow,
             behind=now < view.behind_until,
             reported_at=view.sent_at,
@@ -232,7 +232,7 @@
             self._replicas(tenant, now), key=_routing.preference_key
         )
         for replica in replicas:
-            opens = state.open_for_request(replica.name, tenant, now, grow)
+            opens = state.open_if_allowed(replica.name, tenant, now, grow)
             if opens and tenant:
                 return
 
@@ -242,7 +242,7 @@
         """Open a connection to the preferred replica, closing no other."""
         state = self._state
         if not tenant or state.pool.may_open(name, now, has_tenants=True):
-            state.open_for_request(name, tenant, now)
+            state.open_if_allowed(name, tenant, now)
 
     def _to_primary(
         self,
@@ -262,12 +262,12 @@
             pending.needs_permission = True
             return Placement.PRIMARY
         tenant = self._state.tenant_of(pending.req)
-        conn = self._state.idle_conn(row.primary, tenant)
+        conn = self._state.pool.idle(row.primary, tenant)
         if conn is None:
             if self._state.pool.in_use(row.primary):
                 pending.waiting_for = _types.Code.OVERLOADED
             grow = self._registry.should_grow(pending, now)
-            self._state.open_for_request(row.primary, tenant, now, grow)
+            self._state.open_if_allowed(row.primary, tenant, now, grow)
             return Placement.PRIMARY
         return self._send(pending, row.primary, need, now)
 
@@ -279,7 +279,7 @@
         now: float,
     ) -> Placement:
         tenant = self._state.tenant_of(pending.req)
-        conn = self._state.idle_conn(name, tenant)
+        conn = self._state.pool.idle(name, tenant)
         if conn is None:
             return Placement.BLOCKED
         pending.sent_to = pending.last_sent_to = name
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -176,8 +176,4 @@
     def width(self) -> int:
         """Return the number of connections that may serve this group."""
         names = self._state.cfg.endpoints
-        state = self._state
-        return sum(
-            state.width_of(name, state.pool.share(name).limit)
-            for name in names
-        )
+        return sum(self._state.pool.share(name).limit for name in names)
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -17,7 +17,6 @@
 from tidegrade.core import _types
 from tidegrade.core import _view
 from tidegrade.core.health import _work
-from tidegrade.core.waiting import _window
 
 #: After a pause of the process longer than this, in seconds, the proxy
 #: reads the group's row again before it acknowledges writes. During the
@@ -81,10 +80,6 @@
     )
     #: Whether statements timed out at the primary as its term began to end.
     primary_hung: bool = False
-    #: The number of proxies that share the endpoints, itself included.
-    homes: int = 1
-    #: The concurrency limits for callers' statements, by endpoint.
-    windows: dict[str, _window.Window] = attrs.field(factory=dict)
     commands: list[_events.Command] = attrs.field(factory=list)
 
     @classmethod
@@ -105,7 +100,6 @@
             ),
             permission=_permission.Permission(),
             views={n: _view.EndpointView(n) for n in cfg.endpoints},
-            homes=settings.max_proxies,
         )
 
     def emit(self, command: _events.Command) -> None:
@@ -215,87 +209,6 @@
         self.work_health[primary].must_answer = self.primary_hung
         self.primary_hung = False
 
-    def window(self, name: str) -> _window.Window | None:
-        """Return the concurrency limit at an endpoint; None without one.
-
-        There is one where endpoints report a full queue, and several proxies
-        may fill it.
-        """
-        if not self.settings.traits.status_is_costly or self.homes < 2:
-            return None
-        if name not in self.cfg.endpoints:
-            return None
-        window = self.windows.get(name)
-        if window is None:
-            window = _window.Window(self._slots_of(name), self.homes)
-            self.windows[name] = window
-        return window
-
-    def resize_windows(self) -> None:
-        """Apply the number of homes and the configuration to the limits."""
-        for name in list(self.windows):
-            if name not in self.cfg.endpoints or self.homes < 2:
-                del self.windows[name]
-            else:
-                self.windows[name].resize(self._slots_of(name), self.homes)
-
-    def has_room(self, name: str) -> bool:
-        """Return whether the limit allows another statement of a caller.
-
-        Statements of open transactions count, but are always sent.
-        """
-        window = self.window(name)
-        if window is None:
-            return True
-        return window.has_room(self._in_flight(name))
-
-    def _in_flight(self, name: str) -> int:
-        """Return how many statements of callers an endpoint is working on.
-
-        A statement that hangs while later jobs are answered isn't counted:
-        its connection may have gone silent.
-        """
-        answered = self.views[name].sent_at
-        hung_since = min(answered, self.now - _window.HUNG_S)
-        return self.pool.running_count(name, hung_since)
-
-    def width_of(self, name: str, conns: int) -> int:
-        """Return how many of ``conns`` connections may be used at once."""
-        window = self.window(name)
-        return conns if window is None else min(conns, window.limit)
-
-    def idle_conn(self, name: str, tenant: str | None) -> _pool.Conn | None:
-        """Return an idle connection for a caller's statement, or None.
-
-        There is none if the limit for the endpoint is reached.
-        """
-        return self.pool.idle(name, tenant) if self.has_room(name) else None
-
-    def record_response(
-        self, conn: _pool.Conn, outcome: _jobs.JobOutcome, now: float
-    ) -> None:
-        """Adapt the limit of an endpoint to the outcome of a statement.
-
-        Time-outs and lost connections are left to the failure detection.
-        """
-        window = self.window(conn.endpoint)
-        if window is None:
-            return
-        if isinstance(outcome, _jobs.JobDone):
-            priority = getattr(conn.owner, 'priority', None)
-            window.record_response(
-                (type(conn.job), priority), conn.sent_at, now
-            )
-        elif outcome.failure is _jobs.Failure.BUSY:
-            window.record_busy(conn.sent_at, now)
-
-    def report_windows(self, now: float) -> None:
-        """Report the limits that have changed, for the log."""
-        for name, window in self.windows.items():
-            change = window.take_change(now)
-            if change is not None:
-                self.emit(_events.WindowChanged(name, change))
-
     def row_confirmed(self, asked_at: float) -> None:
         """Record that the row was current at ``asked_at``.
 
@@ -361,28 +274,6 @@
             return False
         return self.work_health[name].may_send(now)
 
-    def open_for_request(
-        self,
-        name: str,
-        tenant: str | None,
-        now: float,
-        grow: bool = False,
-    ) -> bool:
-        """Open a connection for a caller if permitted and of use.
-
-        It is of no use if the running statements and those that wait for a
-        connection being opened reach the limit for the endpoint.
-        """
-        window = self.window(name)
-        if window is not None:
-            running = self._in_flight(name)
-            if not window.has_room(running):
-                window.record_wait()
-                return False
-            if not window.has_room(running + self.pool.opening_count(name)):
-                return self.pool.opening_for(name, tenant)
-        return self.open_if_allowed(name, tenant, now, grow)
-
     def open_if_allowed(
         self,
         name: str,
--- a/src/tidegrade/core/_txns.py
+++ b/src/tidegrade/core/_txns.py
@@ -53,11 +53,6 @@
     txn: Transaction
     pending: _pending.Pending
 
-    @property
-    def priority(self) -> int:
-        """The priority of the request; 0 is the most urgent."""
-        return self.pending.priority
-
 
 class Transactions:
     """The interactive transactions that this proxy has open."""
--- a/src/tidegrade/core/_writes.py
+++ b/src/tidegrade/core/_writes.py
@@ -84,12 +84,12 @@
             return None
         pending.needs_permission = False
         tenant = state.tenant_of(pending.req)
-        conn = state.idle_conn(state.row.primary, tenant)
+        conn = state.pool.idle(state.row.primary, tenant)
         if conn is None:
             if state.pool.in_use(state.row.primary):
                 pending.waiting_for = _types.Code.OVERLOADED
             grow = self._registry.should_grow(pending, now)
-            state.open_for_request(state.row.primary, tenant, now, grow)
+            state.open_if_allowed(state.row.primary, tenant, now, grow)
             return None
         pending.sent_to = pending.last_sent_to = state.row.primary
         pending.tries += 1
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -117,7 +117,6 @@
             core.Reply: self._reply,
             core.FetchRow: self._fetch_row,
             core.WorkHealthChanged: self._log_work_health,
-            core.WindowChanged: self._log_window,
             core.ControlEnded: self._control_ended,
             supervision.ReadRow: self._row_access.order,
             supervision.WriteRow: self._row_access.order,
@@ -465,14 +464,6 @@
             endpoint=command.endpoint,
         )
 
-    def _log_window(self, command: core.WindowChanged) -> None:
-        logs.write_bounded(
-            logs.LogEvent.WINDOW_CHANGED,
-            group=str(self.key),
-            endpoint=command.endpoint,
-            **attrs.asdict(command.change),
-        )
-
     def _control_ended(self, command: core.ControlEnded) -> None:
         self._log_control_ended(command)
         self.post(
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -216,11 +216,6 @@
         logging.INFO,
         'quota ownership times were reset after a pause of this process',
     )
-    WINDOW_CHANGED = (
-        1612,
-        logging.INFO,
-        'the limit on statements in flight at an endpoint has changed',
-    )
     LINES_DROPPED = (1701, logging.WARNING, 'log lines were dropped')
     OUTCOME_UNKNOWN = (1602, logging.WARNING, 'an outcome is unknown')
 
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -356,10 +356,6 @@
                 self._metrics.connections.set(
                     {**labels, 'endpoint': name}, machine.conn_count(name)
                 )
-                limit = machine.window_limit(name)
-                self._metrics.windows.set(
-                    {**labels, 'endpoint': name}, limit or 0
-                )
         age = self._watch.config_age()
         if age is not None:
             self._metrics.config_age.set({}, age)
