Repeat scans of the registrations that all failed

Its first three scans failed and the next one came after 60 s, so that it knew no other proxy and refused everything, though the platform answered again after 4 s.

Ruled out: the concurrency limit (it failed with it and without it).

Change: scans are repeated each second until one has succeeded.

The new test fails without the change.

--- a/src/tidegrade/session_proxy/_members.py
+++ b/src/tidegrade/session_proxy/_members.py
@@ -12,6 +12,9 @@
 #: Pauses after the first scans while no heartbeat arrives, in seconds. The
 #: first is as long as connections and heartbeats take on a loaded VM.
 FIRST_SCAN_PAUSES_S = (0.8, 1.0, 2.0)
+#: Pause between scans as long as none has succeeded, in seconds. A proxy that
+#: starts while it is cut off from the platform knows no other one until then.
+RETRY_PAUSE_S = 1.0
 
 
 class MembersTask:
@@ -49,7 +52,8 @@
             if self._peers.alive():
                 break
         while True:
-            await anyio.sleep(self._interval)
+            known = self._peers.has_vm_list
+            await anyio.sleep(self._interval if known else RETRY_PAUSE_S)
             await self._scan()
 
     async def _scan(self) -> None:
