--- a/src/tidegrade/session_proxy/_drain.py
+++ b/src/tidegrade/session_proxy/_drain.py
@@ -23,8 +23,8 @@
 GRACE_SHARE = 0.9
 #: Fraction of the grace time after which open transactions are rolled back.
 #: A transaction has at least half of the grace time to end, and a statement
-#: that was sent before this still has a tenth of the grace time to be answered
-#: before the final close.
+#: that was sent before this still has a fifth of the grace time to be answered
+#: before the drain ends.
 TXN_SHARE = 0.7
 #: Time for the answers sent at the end to leave the process, in seconds.
 FLUSH_S = 0.1
