Refuse requests that arrive after the end of a drain

What callers saw: a request that arrived after the proxy had answered its unfinished requests was run, and the connection was cut without an answer as the process ended 0.1 to 0.4 s later (LOST if it had reached an endpoint).

Cause: the end of the drain answered only the requests that were in progress at that moment. The process goes on for the time in which the answers leave and the registration is withdrawn, and served what came in that time: the next statement of a transaction whose pause spans the end.

Change: from that moment on each command is refused as not run, and rolls back an open transaction.

--- a/src/tidegrade/session_proxy/_drain.py
+++ b/src/tidegrade/session_proxy/_drain.py
@@ -1,9 +1,9 @@
 """Draining at the end of the program.
 
 Sessions end step by step: no transaction begins once the load balancer has
-noticed, open transactions are rolled back later, and at the end each request
-that is still in progress is answered. So no caller waits on a connection
-that the end of the process cuts.
+noticed, the next statement of an open transaction is refused later, and at
+the end each request that is still in progress is answered. So no caller waits
+on a connection that the end of the process cuts.
 """
 
 from collections.abc import Callable
@@ -21,10 +21,10 @@
 FINAL_CLOSE_S = 0.8
 #: Fraction of the grace time after which the drain waits no longer.
 GRACE_SHARE = 0.9
-#: Fraction of the grace time after which open transactions are rolled back.
-#: A transaction has at least half of the grace time to end, and a statement
-#: that was sent before this still has a fifth of the grace time to be answered
-#: before the drain ends.
+#: Fraction of the grace time after which the next statement of an open
+#: transaction is refused and rolls it back. A transaction has at least half of
+#: the grace time to end, and a statement that was sent before this still has a
+#: fifth of the grace time to be answered before the drain ends.
 TXN_SHARE = 0.7
 #: Time for the answers sent at the end to leave the process, in seconds.
 FLUSH_S = 0.1
--- a/src/tidegrade/sessions/_session.py
+++ b/src/tidegrade/sessions/_session.py
@@ -74,6 +74,8 @@
         self._floors: dict[str, core.Position] = {}
         self._txn: _Transaction | None = None
         self._failed = False
+        #: When the last command began, in seconds.
+        self._began_at = 0.0
         self._handlers: dict[type, typing.Any] = {
             _commands.Begin: self._begin,
             _commands.Commit: self._commit,
@@ -102,41 +104,56 @@
         if self._failed and not isinstance(command, ending):
             # The failed statement has been recorded already.
             return _deps.Reply(_TXN_FAILED, self.state)
-        began_at = self._deps.now()
+        self._began_at = self._deps.now()
         answer = await self._handlers[type(command)](command)
-        reply = _deps.Reply(answer, self.state)
-        took = self._deps.now() - began_at
-        self._deps.record_command(
-            _deps.CommandRecord(
-                self._database,
-                self._caller.label,
-                self._operations.tenant,
-                command,
-                reply,
-                took,
-            )
-        )
-        return reply
+        return self._recorded(command, answer)
 
     def interrupted(self, command: _commands.Command) -> _deps.Reply:
         """Return the reply to a command that was cancelled by a shutdown.
 
-        An open transaction is rolled back as the process ends, so nothing of
-        it is kept. Whether a write or a commit takes effect is unknown.
+        An open transaction is never committed, so nothing of it is kept.
+        Whether a write or a commit takes effect is unknown.
         """
-        if self._txn is not None:
-            answer = self._end_for_shutdown(self._txn)
-        elif self._may_have_written(command):
+        if self._txn is None and self._may_have_written(command):
             answer = core.Answer(
                 core.Outcome.UNKNOWN,
                 code=core.Code.UNCONFIRMED,
                 detail='the proxy was shut down before the endpoint answered',
             )
-        else:
-            answer = _operations.refused(
-                core.Code.DRAINING, 'the proxy is shutting down'
+            return self._recorded(command, answer)
+        return self._recorded(command, self._refuse_at_shutdown())
+
+    def refuse(self, command: _commands.Command) -> _deps.Reply:
+        """Return the reply to a command that a shutdown leaves no time for.
+
+        It is not run, and an open transaction is rolled back.
+        """
+        self._began_at = self._deps.now()
+        return self._recorded(command, self._refuse_at_shutdown())
+
+    def _refuse_at_shutdown(self) -> core.Answer:
+        if self._txn is not None:
+            return self._end_for_shutdown(self._txn)
+        return _operations.refused(
+            core.Code.DRAINING, 'the proxy is shutting down'
+        )
+
+    def _recorded(
+        self, command: _commands.Command, answer: core.Answer
+    ) -> _deps.Reply:
+        """Record a command with its answer, and return the reply."""
+        reply = _deps.Reply(answer, self.state)
+        self._deps.record_command(
+            _deps.CommandRecord(
+                self._database,
+                self._caller.label,
+                self._operations.tenant,
+                command,
+                reply,
+                self._deps.now() - self._began_at,
             )
-        return _deps.Reply(answer, self.state)
+        )
+        return reply
 
     def _may_have_written(self, command: _commands.Command) -> bool:
         """Return whether a command outside a transaction may take effect.
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -298,17 +298,50 @@
 async def test_a_request_in_progress_is_answered_at_the_end(harness):
     """The end of the process cut the connection instead."""
     reading, writing = await harness.caller(), await harness.caller()
-    idle = await harness.caller()
+    committing, idle = await harness.caller(), await harness.caller()
+    await committing.ask('BEGIN')
+    await committing.ask('WRITE x 1')
     harness.service.group.may_answer = anyio.Event()
     await reading.send('QUERY u1 READ x')
     await writing.send('QUERY u2 WRITE x 1')
+    await committing.send('QUERY u3 COMMIT')
     await anyio.sleep(0.05)
-    assert harness.listener.answer_unfinished() == 2
-    assert (await reading.receive()).startswith('ERROR BUSY ')
-    assert (await writing.receive()).startswith('ERROR INDOUBT ')
+    assert harness.listener.answer_unfinished() == 3
+    with anyio.fail_after(CLOSE_TIMEOUT_S):
+        assert (await reading.receive()).startswith('ERROR BUSY ')
+        assert (await writing.receive()).startswith('ERROR INDOUBT ')
+        # A refusal would be wrong: the commit may have taken effect.
+        assert (await committing.receive()).startswith('ERROR INDOUBT ')
     assert await is_open(idle)
 
 
+@pytest.mark.parametrize(
+    ('text', 'code'),
+    [('COMMIT', 'ABORTED'), ('WRITE y 2', 'ABORTED'), ('ROLLBACK', 'ABORTED')],
+)
+async def test_a_command_that_arrives_after_the_end_is_refused(
+    harness, text, code
+):
+    """It was run, and cut without an answer as the process ended."""
+    caller = await harness.caller()
+    await caller.ask('BEGIN')
+    await caller.ask('WRITE x 1')
+    harness.service.group.may_answer = anyio.Event()
+    assert harness.listener.answer_unfinished() == 0
+    await caller.send(f'QUERY u9 {text}')
+    with anyio.fail_after(CLOSE_TIMEOUT_S):
+        assert (await caller.receive()).startswith(f'ERROR {code} ')
+
+
+async def test_a_statement_that_arrives_after_the_end_is_not_run(harness):
+    caller = await harness.caller()
+    harness.service.group.may_answer = anyio.Event()
+    harness.listener.answer_unfinished()
+    await caller.send('QUERY u9 WRITE x 1')
+    with anyio.fail_after(CLOSE_TIMEOUT_S):
+        assert (await caller.receive()).startswith('ERROR BUSY ')
+
+
 #: One text for each command, with bytes that are not UTF-8.
 ODD_TEXTS = (
     b'READ caf\xe3',
@@ -323,7 +356,7 @@
 
 
 async def test_no_bytes_of_a_caller_end_the_process(harness):
-    """A prepared shape that was not UTF-8 ended the process."""
+    """Guards against an unhandled decoding error of the listener."""
     caller = await harness.caller()
     for text in ODD_TEXTS:
         await caller._stream.send(b'QUERY u\xe3 ' + text + b'\r\n')
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -384,3 +384,18 @@
     assert reply.answer.code is core.Code.TENANT_LIMIT
     assert reply.answer.detail.startswith(reason)
     assert harness.quotas.priorities == [ROUTE.priority]
+
+
+@pytest.mark.parametrize('command', [READ, WRITE, COMMIT])
+async def test_a_refused_command_reaches_no_endpoint(harness, command):
+    """Guards against a refusal of a command that was run all the same."""
+    session = harness.open()
+    await session.handle(sessions.Begin('b1'))
+    await session.handle(WRITE)
+    asked = len(harness.group.asked)
+    reply = session.refuse(command)
+    assert reply.answer.outcome is core.Outcome.NOT_RUN
+    assert reply.state is sessions.SessionState.FAILED
+    assert len(harness.group.asked) == asked
+    (posted,) = harness.group.posted
+    assert posted.req.kind is core.Kind.ROLLBACK
