Answer the requests in progress at the end of an HTTP drain

What callers saw: a request that still waited for an endpoint after the limit of the drain got no answer; its connection was closed some seconds later.

At the limit the HTTP program stopped its server, which cancels requests after 5 s; nothing answered them.

Ruled out: that each request ends by its deadline before. A deadline may be 30 s, and the drain limit is a setting.

Change: at the end of a drain each group answers its requests (DrainEnded in the group's machine): as unknown if they may have committed, else as not run. Connections at work are closed before, so that nothing commits after a refusal, and open transactions are rolled back.

--- a/bench/tidegrade_bench/_deployment.py
+++ b/bench/tidegrade_bench/_deployment.py
@@ -302,6 +302,7 @@
             },
             'platform': {'url': self.platform_url},
             'operators': {'trial': sha256(OPERATOR_KEY)},
+            'drain_limit_s': self.plan.drain_limit_s,
         }
 
     async def _until_answers(self, url: str) -> None:
--- a/bench/tidegrade_bench/_plan.py
+++ b/bench/tidegrade_bench/_plan.py
@@ -25,7 +25,8 @@
 class Plan:
     """A whole deployment.
 
-    ``tenants`` are the tenants of every site.
+    ``tenants`` are the tenants of every site. ``drain_limit_s`` is the
+    longest drain of a proxy, in seconds.
     """
 
     domains: tuple[str, ...]
@@ -35,6 +36,7 @@
     tenants: tuple[str, ...] = ('tenant-a', 'tenant-b')
     requests_per_s: float = 2000.0
     max_in_flight: int = 500
+    drain_limit_s: float = 30.0
 
 
 KANWA = GroupPlan(
--- a/src/tidegrade/core/__init__.py
+++ b/src/tidegrade/core/__init__.py
@@ -20,6 +20,7 @@
 from tidegrade.core._events import ControlRequested
 from tidegrade.core._events import ControlsCancelled
 from tidegrade.core._events import CutOffChanged
+from tidegrade.core._events import DrainEnded
 from tidegrade.core._events import DrainStarted
 from tidegrade.core._events import EndpointSuspected
 from tidegrade.core._events import Event
@@ -150,6 +151,7 @@
     'ControlRequested',
     'ControlsCancelled',
     'CutOffChanged',
+    'DrainEnded',
     'DrainStarted',
     'EndpointReport',
     'EndpointSuspected',
--- a/src/tidegrade/core/_events.py
+++ b/src/tidegrade/core/_events.py
@@ -163,6 +163,11 @@
     """The proxy is draining; it accepts no new work from now on."""
 
 
+@attrs.frozen
+class DrainEnded:
+    """The process is about to end; all requests are answered now."""
+
+
 @attrs.frozen
 class Tick:
     """Time has passed; the driver sends this event at regular intervals."""
@@ -187,6 +192,7 @@
     | EndpointSuspected
     | CutOffChanged
     | DrainStarted
+    | DrainEnded
     | Tick
 )
 
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -88,6 +88,7 @@
             _events.PollingDutyChanged: self._polling_duty_changed,
             _events.EndpointSuspected: self._endpoint_suspected,
             _events.DrainStarted: self._drain_started,
+            _events.DrainEnded: self._drain_ended,
             _events.Tick: self._tick,
         }
 
@@ -203,11 +204,15 @@
             self._registry.refuse(pending, _types.Code.DEADLINE)
         elif event.req.kind in _TXN_KINDS:
             self._txns.run_step(pending, now)
-        elif self._state.draining and event.req.kind is _types.Kind.BEGIN:
+        elif self._is_refused_by_drain(event.req):
             self._registry.refuse(pending, _types.Code.DRAINING)
         else:
             self._dispatcher.add(pending, now)
 
+    def _is_refused_by_drain(self, req: _types.Request) -> bool:
+        begins = req.kind is _types.Kind.BEGIN
+        return self._state.ended or (self._state.draining and begins)
+
     def _request_cancelled(
         self, event: _events.RequestCancelled, now: float
     ) -> None:
@@ -494,6 +499,22 @@
     def _drain_started(self, event: _events.DrainStarted, now: float) -> None:
         self._state.draining = True
 
+    def _drain_ended(self, event: _events.DrainEnded, now: float) -> None:
+        """Answer all requests and roll open transactions back.
+
+        Connections that run statements of callers are closed, so that
+        nothing commits after a request was answered as not run.
+        """
+        self._state.ended = True
+        for conn in self._state.pool:
+            if isinstance(conn.owner, _pending.Pending | _txns.TxnStep):
+                self._state.close(conn)
+        for pending in self._registry.unanswered():
+            self._dispatcher.discard(pending)
+            self._confirmations.discard(pending)
+            self._registry.refuse(pending, _code_at_end(pending))
+        self._txns.end_all(now)
+
     # Supervision ----------------------------------------------------------
 
     def _control_requested(
@@ -550,6 +571,15 @@
             self._registry.refuse(pending, code)
 
 
+def _code_at_end(pending: _pending.Pending) -> _types.Code:
+    """Return the code of a request that the end of the process interrupts."""
+    if pending.commit_sent:
+        return _types.Code.UNCONFIRMED
+    if pending.req.kind in _TXN_KINDS:
+        return _types.Code.TXN_UNKNOWN
+    return _types.Code.DRAINING
+
+
 def is_newer(row: _row.GroupRow, known: _row.GroupRow) -> bool:
     """Return whether ``row`` is a later state of the group than ``known``."""
     return row_rank(row) > row_rank(known)
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -50,6 +50,10 @@
         """Return whether a request has not been answered."""
         return pending.req.id in self._open
 
+    def unanswered(self) -> list[_pending.Pending]:
+        """Return all unanswered requests."""
+        return list(self._open.values())
+
     def overdue(self, now: float) -> list[_pending.Pending]:
         """Return the requests past their ``deadline`` or ``place_by``."""
         return [
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -69,6 +69,8 @@
     paused_at: float | None = None
     polls_for_peers: bool = True
     draining: bool = False
+    #: Whether the process is about to end, so that nothing more is run.
+    ended: bool = False
     recovery: _recovery.RecoveryEstimate = attrs.field(
         factory=_recovery.RecoveryEstimate
     )
--- a/src/tidegrade/core/_txns.py
+++ b/src/tidegrade/core/_txns.py
@@ -361,6 +361,11 @@
             if elsewhere and txn.pending is None:
                 self._roll_back(txn, now)
 
+    def end_all(self, now: float) -> None:
+        """Roll back all transactions."""
+        for txn in list(self._open.values()):
+            self._roll_back(txn, now)
+
     def _roll_back(self, txn: Transaction, now: float) -> None:
         self._forget(txn)
         conn = self._state.pool.get(txn.conn)
--- a/src/tidegrade/http_proxy/_proxy.py
+++ b/src/tidegrade/http_proxy/_proxy.py
@@ -156,6 +156,8 @@
                 logs.LogEvent.DRAIN_LIMIT_REACHED,
                 in_flight=self._service.in_flight,
             )
+            for group in self._service.groups.values():
+                group.post(core.DrainEnded())
         # The server stops after it has sent its last responses.
         self._server.should_exit = True
         with anyio.move_on_after(self._cfg.drain_limit_s):
--- a/tests/system/conftest.py
+++ b/tests/system/conftest.py
@@ -86,6 +86,14 @@
         yield made
 
 
+@pytest.fixture
+async def hasty(tmp_path: pathlib.Path):
+    """Yield a deployment whose proxies drain for 1.5 s at most."""
+    plan = attrs.evolve(PLAN, drain_limit_s=1.5)
+    async with _run(tmp_path, plan) as made:
+        yield made
+
+
 @pytest.fixture
 async def limited(tmp_path: pathlib.Path):
     """Yield a deployment with a limit of 20 requests/s for each tenant."""
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -186,6 +186,33 @@
     await stop_and_check(load)
 
 
+async def test_the_end_of_a_drain_answers_what_is_in_progress(hasty):
+    """A request that waited for an endpoint was cut as the process ended.
+
+    The server cancels it some seconds after the drain.
+    """
+    proxy = hasty.deployment.proxies[0]
+    write = [(PUT, ['late', 1])]
+    for instance in hasty.deployment.instances:
+        instance.process.freeze()
+    said = []
+
+    async def ask() -> None:
+        said.append(
+            await hasty.caller().write(
+                write, deadline_ms=20_000, url=proxy.url
+            )
+        )
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(3):
+            tasks.start_soon(ask)
+        await anyio.sleep(0.2)
+        proxy.process.terminate()
+    assert {answer.code for answer in said} <= {'draining', 'unconfirmed'}
+    assert len(said) == 3
+
+
 async def test_a_leaving_primary_gets_no_new_work(site, load):
     leaving = site.deployment.instances[0]
     await site.deployment.publish_vms(frozenset({leaving.name}))
