Let the groups answer what a drain interrupts, and wait for the answers

A request that another proxy had forwarded here got no answer from the home that ended. On a slow VM the process ended 0.1 s after it had begun to answer, with answers unsent (LOST).

Cause: cancelled each caller's request and judged by its kind alone, while the group knows which were sent; requests of other proxies were not touched; and the time for answers to leave was fixed.

Change: the groups answer first (DrainEnded), then what waits for other proxies is interrupted. Requests that arrive in that time, forwarded ones too, are refused as not run.

--- a/src/tidegrade/ports/_sessions.py
+++ b/src/tidegrade/ports/_sessions.py
@@ -127,10 +127,14 @@
         Returns how many are still open.
         """
 
+    def unanswered(self) -> int:
+        """Return the number of requests whose answers have not been sent."""
+
     def answer_unfinished(self) -> int:
         """Answer each request in progress now; return their number.
 
-        The outcome of one that may take effect is unknown.
+        The outcome of one that may take effect is unknown. Requests that
+        still arrive are refused.
         """
 
 
--- a/src/tidegrade/session_proxy/_proxy.py
+++ b/src/tidegrade/session_proxy/_proxy.py
@@ -44,6 +44,8 @@
 #: Interval between checks of which groups to serve, in seconds: about one
 #: heartbeat interval.
 HOMES_CHECK_INTERVAL_S = 0.5
+#: Time limit for the withdrawal of the registration, in seconds.
+WITHDRAW_TIMEOUT_S = 0.3
 #: Interval between checks whether the failure domain is isolated, in seconds.
 ISOLATION_CHECK_INTERVAL_S = 0.1
 
@@ -72,7 +74,9 @@
         self._is_registered = False
         self._isolation = core.Isolation()
         self._stopping = anyio.Event()
-        self._drain = _drain.Drain(adapters, self._is_serving_others)
+        self._drain = _drain.Drain(
+            adapters, self._is_serving_others, self._end_requests
+        )
         self._tasks: anyio.abc.TaskGroup | None = None
         self._session_deps = self._make_session_deps(sessions.UnlimitedQuota())
 
@@ -231,7 +235,9 @@
             peers.send_heartbeat_now()
             quotas.update_proxies()
             await self._drain.drain_sessions(self._cfg)
-            with anyio.move_on_after(0.3):
+            with anyio.move_on_after(
+                min(WITHDRAW_TIMEOUT_S, self._drain.time_left())
+            ):
                 await registration.withdraw()
             tasks.cancel_scope.cancel()
         logs.write(logs.LogEvent.STOPPED)
@@ -284,6 +290,11 @@
             return True
         return any(g.machine.transactions for g in self._groups.values())
 
+    def _end_requests(self) -> None:
+        """Make each group answer its requests, as the process ends."""
+        for group in self._groups.values():
+            group.post(core.DrainEnded())
+
     async def _watch_isolation(self) -> None:
         """Move callers to other failure domains while this one is isolated."""
         while True:
--- a/tests/session_proxy/test_drain.py
+++ b/tests/session_proxy/test_drain.py
@@ -27,6 +27,10 @@
     ends_at: float
     answered_at: float | None = None
     accepts: bool = True
+    #: Whether the groups were told to answer all requests.
+    groups_ended: bool = False
+    #: Time that an answer takes to leave, in seconds.
+    answer_s: float = 0.0
 
     def close_after_answers(self, wanted: bool) -> None:
         pass
@@ -37,6 +41,14 @@
     def stop_accepting(self) -> None:
         self.accepts = False
 
+    def end_requests(self) -> None:
+        self.groups_ended = True
+
+    def unanswered(self) -> int:
+        if self.answered_at is None:
+            return 1
+        return int(anyio.current_time() < self.answered_at + self.answer_s)
+
     def answer_unfinished(self) -> int:
         self.answered_at = anyio.current_time()
         return 1
@@ -58,11 +70,15 @@
     unready_s: float = 0.3
 
 
-async def drained(session_s: float) -> tuple[Listener, float, list]:
+async def drained(
+    session_s: float, answer_s: float = 0.0, cfg: Cfg = Cfg()
+) -> tuple[Listener, float, list]:
     """Drain a proxy with one session; return also the time and the phases."""
     began_at = anyio.current_time()
-    listener = Listener(began_at + session_s)
-    drain = _drain.Drain(Adapters(listener), lambda: False)
+    listener = Listener(began_at + session_s, answer_s=answer_s)
+    drain = _drain.Drain(
+        Adapters(listener), lambda: False, listener.end_requests
+    )
     phases: list[tuple[sessions.ServicePhase, float]] = []
 
     async def watch() -> None:
@@ -74,7 +90,7 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(watch)
-        await drain.drain_sessions(Cfg())
+        await drain.drain_sessions(cfg)
         tasks.cancel_scope.cancel()
     return listener, anyio.current_time() - began_at, phases
 
@@ -84,11 +100,25 @@
     listener, took, _ = await drained(session_s=60.0)
     assert listener.answered_at is not None
     assert not listener.accepts
+    assert listener.groups_ended
+    assert took < GRACE_S
+
+
+async def test_a_drain_waits_until_its_last_answers_have_left():
+    """On a slow VM the process ended before it had sent all of them."""
+    listener, took, _ = await drained(60.0, 0.15, Cfg(grace_s=4.0))
+    assert not listener.unanswered()
+    assert took < 4.0 * _drain.END_SHARE
+
+
+async def test_a_drain_does_not_wait_for_answers_beyond_its_time():
+    _, took, _ = await drained(session_s=60.0, answer_s=60.0)
     assert took < GRACE_S
 
 
 async def test_a_drain_without_sessions_ends_early():
     listener, took, _ = await drained(session_s=0.0)
+    assert listener.groups_ended
     assert listener.answered_at is None
     assert took < GRACE_S / 2
 
