Test session state after a setup that goes wrong in real processes

Guards the mend of refused setups on the paths that it did not test: SET, PREPARE, RESET, BEGIN and ROLLBACK of a proxy refused, refused late, run late, lost, or cut in the middle of the answer; outside and inside transactions; at a proxy itself and at the home of a tenant to which proxies forward. Sessions that use the connections afterwards must run with their own values and shapes, and none may get NOSTMT.

--- a/standins/tidegrade_edge/__init__.py
+++ b/standins/tidegrade_edge/__init__.py
@@ -10,7 +10,9 @@
 from tidegrade_edge._instance import Commit
 from tidegrade_edge._instance import Entry
 from tidegrade_edge._instance import Instance
+from tidegrade_edge._instance import Misstep
 from tidegrade_edge._instance import Run
+from tidegrade_edge._instance import SetupFault
 from tidegrade_edge._relay import Direction
 from tidegrade_edge._relay import Relay
 from tidegrade_edge._site import free_ports
@@ -25,10 +27,12 @@
     'Direction',
     'Entry',
     'Instance',
+    'Misstep',
     'ProxyProcess',
     'Relay',
     'Reply',
     'Run',
+    'SetupFault',
     'Site',
     'SiteSettings',
     'Store',
--- a/standins/tidegrade_edge/_instance.py
+++ b/standins/tidegrade_edge/_instance.py
@@ -1,5 +1,6 @@
 """A database instance of the stand-in: a log, and sessions over lines."""
 
+import enum
 import time
 
 import anyio
@@ -50,6 +51,34 @@
     rows: tuple[str, ...] = ()
     tenant: str = ''
     at: float = 0.0
+    shape: str = ''
+
+
+class Misstep(enum.Enum):
+    """What becomes of a statement and of its answer."""
+
+    REFUSED = 'refused'
+    #: Refused; the answer comes after the time limit of the statement.
+    REFUSED_LATE = 'refused late'
+    #: Run; the answer comes after the time limit of the statement.
+    RUN_LATE = 'run late'
+    #: Run; the connection ends instead of an answer.
+    LOST = 'lost'
+    #: Refused; the connection ends in the middle of the answer.
+    CUT = 'cut'
+
+
+@attrs.frozen
+class SetupFault:
+    """A fault of the statements that proxies issue themselves.
+
+    It strikes those that begin with ``verb``; ``code`` is that of a refusal.
+    """
+
+    verb: str
+    misstep: Misstep
+    code: str = 'READONLY'
+    delay_s: float = 2.3
 
 
 @attrs.define
@@ -59,7 +88,8 @@
     ``dark``: it neither answers nor closes. ``deaf``: it receives nothing
     from its primary. ``lose_answers`` counts statements that run and end
     the connection instead of answering. ``busy`` refuses every statement.
-    ``work`` is how long a caller's statement takes, in seconds.
+    ``work`` is how long a caller's statement takes, in seconds. ``forget``
+    makes connections forget their prepared names before each EXEC.
     """
 
     dark: bool = False
@@ -68,6 +98,8 @@
     lose_answers: int = 0
     work: float = 0.0
     apply_lag: float = 0.0
+    setup: SetupFault | None = None
+    forget: bool = False
 
 
 @attrs.define
@@ -108,6 +140,8 @@
         self._applied = 0
         #: Every statement that ran.
         self.runs: list[Run] = []
+        #: Number of statements that a setup fault has struck.
+        self.struck = 0
         #: Every commit that was made here.
         self.commits: list[Commit] = []
         self.port = 0
@@ -226,6 +260,11 @@
             await self._pause_while_dark()
             if request_id != '-':
                 await anyio.sleep(self.faults.work)
+            fault = self.faults.setup
+            if fault and request_id == '-' and text.startswith(fault.verb):
+                if not await self._strike(fault, session, text, lines):
+                    return
+                continue
             try:
                 said = self._run(session, request_id, text)
             except _Refused as exc:
@@ -237,6 +276,30 @@
                 return
             await lines.send(*said, self._ready(session))
 
+    async def _strike(
+        self,
+        fault: SetupFault,
+        session: _Session,
+        text: str,
+        lines: '_Lines',
+    ) -> bool:
+        """Let a statement go wrong; return whether the connection goes on."""
+        self.struck += 1
+        runs = fault.misstep in (Misstep.RUN_LATE, Misstep.LOST)
+        said = self._run(session, '-', text) if runs else []
+        if not runs:
+            session.failed = session.open
+            said = [f'ERROR {fault.code} {self.id}']
+        if fault.misstep is Misstep.LOST:
+            return False
+        if fault.misstep is Misstep.CUT:
+            await lines.send(f'ERROR {fault.code}')
+            return False
+        if fault.misstep in (Misstep.REFUSED_LATE, Misstep.RUN_LATE):
+            await anyio.sleep(fault.delay_s)
+        await lines.send(*said, self._ready(session))
+        return True
+
     async def _pause_while_dark(self) -> None:
         while self.faults.dark:
             await anyio.sleep(0.01)
@@ -264,10 +327,10 @@
         handler = getattr(self, f'_do_{verb.lower()}')
         return handler(session, request_id, fields)
 
-    def _do_read(self, session, request_id, fields) -> list[str]:
+    def _do_read(self, session, request_id, fields, shape='') -> list[str]:
         self._check_lead(session)
         value = self.items().get(fields.split(' ')[0], '-')
-        self._ran(session, request_id, f'READ {fields}', (value,))
+        self._ran(session, request_id, f'READ {fields}', (value,), shape)
         return [f'ROW {value}', f'DONE {self.id}:{request_id}']
 
     def _ran(
@@ -276,6 +339,7 @@
         request_id: str,
         text: str,
         rows: tuple[str, ...] = (),
+        shape: str = '',
     ) -> None:
         """Note a statement that runs."""
         self.runs.append(
@@ -289,15 +353,16 @@
                 rows,
                 session.tenant,
                 time.monotonic(),
+                shape,
             )
         )
 
-    def _do_write(self, session, request_id, fields) -> list[str]:
+    def _do_write(self, session, request_id, fields, shape='') -> list[str]:
         if request_id == '-':
             raise _Refused('MALFORMED')
         if self.role != 'primary' or (session.open and session.read_only):
             raise _Refused(f'READONLY {self.id}')
-        self._ran(session, request_id, f'WRITE {fields}')
+        self._ran(session, request_id, f'WRITE {fields}', shape=shape)
         item, _, data = fields.partition(' ')
         if session.open:
             session.puts.append((item, data))
@@ -307,12 +372,14 @@
 
     def _do_exec(self, session, request_id, fields) -> list[str]:
         name, _, rest = fields.partition(' ')
+        if self.faults.forget:
+            session.prepared = {}
         if name not in session.prepared:
             raise _Refused('NOSTMT')
-        kind, _ = session.prepared[name]
+        kind, shape = session.prepared[name]
         if kind == 'WRITE':
-            return self._do_write(session, request_id, rest)
-        return self._do_read(session, request_id, rest)
+            return self._do_write(session, request_id, rest, shape)
+        return self._do_read(session, request_id, rest, shape)
 
     def _do_begin(self, session, request_id, fields) -> list[str]:
         read_only = fields == 'READ'
