--- a/tests/edge/test_edge_setup_faults.py
+++ b/tests/edge/test_edge_setup_faults.py
@@ -262,3 +262,19 @@
 ):
     """The same where proxies forward requests to the home of the tenant."""
     await check(with_tenant, misstep, (0, 1, 2))
+
+
+async def test_a_forgotten_name_is_prepared_again(sessions):
+    """A write was answered INDOUBT, though NOSTMT says that it was not run."""
+    site = sessions.site
+    session = await sessions.open(0, 'db-primary')
+    await session.prepare('w', 'WRITE', 'q8')
+    assert (await session.ask('EXEC w a 1')).error == ''
+    for instance in site.instances:
+        instance.faults.forget = True
+    assert (await session.ask('EXEC w a 2')).code == 'BUSY'
+    for instance in site.instances:
+        instance.faults.forget = False
+    for number in range(LATER_SESSIONS):
+        assert (await session.ask(f'EXEC w a {number}')).error == ''
+    assert sessions.wrong_runs() == []
