--- a/src/tidegrade/sessions/_session.py
+++ b/src/tidegrade/sessions/_session.py
@@ -131,6 +131,14 @@
         self._began_at = self._deps.now()
         return self._recorded(command, self._refuse_at_shutdown())
 
+    def abandon(self) -> None:
+        """Roll an open transaction back, since a shutdown is about to end it.
+
+        The transaction then has failed for the caller.
+        """
+        if self._txn is not None:
+            self._end_for_shutdown(self._txn)
+
     def _refuse_at_shutdown(self) -> core.Answer:
         if self._txn is not None:
             return self._end_for_shutdown(self._txn)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -9,6 +9,7 @@
 import time
 
 import anyio
+import attrs
 import pytest
 import result
 import tidegrade_edge as edge
@@ -40,13 +41,16 @@
     def __init__(self) -> None:
         self.may_answer = anyio.Event()
         self.may_answer.set()
+        self.posted: list[core.Event] = []
 
     async def request(self, req: core.Request) -> core.Answer:
         await self.may_answer.wait()
+        if req.kind is core.Kind.BEGIN:
+            return attrs.evolve(DONE, txn='p~1')
         return DONE
 
     def post(self, event: core.Event) -> None:
-        pass
+        self.posted.append(event)
 
     def final(self, answer: core.Answer) -> core.Answer:
         return answer
@@ -333,6 +337,19 @@
         assert (await caller.receive()).startswith(f'ERROR {code} ')
 
 
+async def test_a_transaction_without_a_request_is_rolled_back_at_the_end(
+    harness,
+):
+    """Its locks stayed at another proxy until its idle limit."""
+    caller = await harness.caller()
+    await caller.ask('BEGIN')
+    await caller.ask('WRITE x 1')
+    assert harness.listener.answer_unfinished() == 0
+    (posted,) = harness.service.group.posted
+    assert posted.req.kind is core.Kind.ROLLBACK
+    assert (await caller.ask('COMMIT')).code == 'ABORTED'
+
+
 async def test_a_statement_that_arrives_after_the_end_is_not_run(harness):
     caller = await harness.caller()
     harness.service.group.may_answer = anyio.Event()
