Don't sleep for a negative time at a limit of the drain

Cause: the pause between two looks was cut to the time left in, which was read after the check of the limit. If the limit passed between the two readings, the pause was negative, and anyio raises ValueError for that.

Change: the time left is read once, and checked. No other pause is a difference of times.

Before: test_a_drain_ends_though_time_passes_between_readings fails with that error. After: it passes.

--- a/src/tidegrade/session_proxy/_drain.py
+++ b/src/tidegrade/session_proxy/_drain.py
@@ -133,8 +133,8 @@
         wait ends at the time ``at``.
         """
         while self._listener.close_idle() or self._is_serving_others():
-            if self._clock.now() >= at:
-                return False
             left = at - self._clock.now()
+            if left <= 0.0:
+                return False
             await anyio.sleep(min(CLOSE_CHECK_INTERVAL_S, left))
         return True
--- a/tests/session_proxy/test_drain.py
+++ b/tests/session_proxy/test_drain.py
@@ -54,12 +54,26 @@
         return 1
 
 
+@attrs.define
+class SlowClock:
+    """A clock on which time passes between any two readings."""
+
+    step_s: float
+    passed_s: float = 0.0
+
+    def now(self) -> float:
+        self.passed_s += self.step_s
+        return anyio.current_time() + self.passed_s
+
+
 @attrs.frozen
 class Adapters:
     """The adapters that a drain uses."""
 
     listener: Listener
-    clock: _clock.MonotonicClock = attrs.field(factory=_clock.MonotonicClock)
+    clock: _clock.MonotonicClock | SlowClock = attrs.field(
+        factory=_clock.MonotonicClock
+    )
 
 
 @attrs.frozen
@@ -116,6 +130,19 @@
     assert took < GRACE_S
 
 
+@pytest.mark.parametrize('step_s', [0.003, 0.01, 0.03, 0.1, 0.3])
+async def test_a_drain_ends_though_time_passes_between_readings(step_s):
+    """A limit that passed between two readings ended the process at once."""
+    listener = Listener(anyio.current_time() + 60.0)
+    drain = _drain.Drain(
+        Adapters(listener, SlowClock(step_s)),
+        lambda: False,
+        listener.end_requests,
+    )
+    await drain.drain_sessions(Cfg())
+    assert listener.groups_ended
+
+
 async def test_a_drain_without_sessions_ends_early():
     listener, took, _ = await drained(session_s=0.0)
     assert listener.groups_ended
