Exit with 2 where a script of the review could not run

An error of the script itself, and proxies that do not get ready in case 6, ended with status 1, which says that the rule was broken. The promises, the order of events, the checks and their bounds are unchanged.

--- a/review/standins_2/small_site.py
+++ b/review/standins_2/small_site.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from instance import Instance
 from instance import Service
@@ -344,6 +345,10 @@
             return await play(small, os.environ.get('TROUBLE', '1'))
         except asyncio.CancelledError:
             return 2
+        except Exception:
+            # The case could not run; status 1 would say that it did.
+            traceback.print_exc()
+            return 2
         finally:
             small.stop()
             record.close()
