Give the permission to acknowledge a sub-package

Callers see nothing of it: the module moves to core/permission/ unchanged, and only imports differ. Ruled out: moving the supervisor with it, which no fault touches. Before and after: the tests of core pass.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -26,12 +26,12 @@
 from tidegrade.core import _election
 from tidegrade.core import _jobs
 from tidegrade.core import _membership
-from tidegrade.core import _permission
 from tidegrade.core import _row
 from tidegrade.core import _supervision as sv
 from tidegrade.core import _traits
 from tidegrade.core import _types
 from tidegrade.core import _watching
+from tidegrade.core.permission import _permission
 from tidegrade.core.placing import _rendezvous
 
 #: Longest wait, in seconds, for a replica to catch up with a fenced endpoint
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -17,7 +17,6 @@
 from tidegrade.core import _exchange
 from tidegrade.core import _jobs
 from tidegrade.core import _pending
-from tidegrade.core import _permission
 from tidegrade.core import _polls
 from tidegrade.core import _pool
 from tidegrade.core import _reads
@@ -31,6 +30,7 @@
 from tidegrade.core import _types
 from tidegrade.core import _view
 from tidegrade.core import _writes
+from tidegrade.core.permission import _permission
 
 #: Jobs for callers that only a primary runs.
 _WRITING = (
--- a/src/tidegrade/core/_polls.py
+++ b/src/tidegrade/core/_polls.py
@@ -5,9 +5,9 @@
 from tidegrade.core import _confirm
 from tidegrade.core import _hung_polls
 from tidegrade.core import _jobs
-from tidegrade.core import _permission
 from tidegrade.core import _pool
 from tidegrade.core import _state
+from tidegrade.core.permission import _permission
 
 #: Interval between polls, in seconds, while a committed write waits for
 #: replicas.
--- a/src/tidegrade/core/_recovery.py
+++ b/src/tidegrade/core/_recovery.py
@@ -11,8 +11,8 @@
 import random
 
 import attrs
+from tidegrade.core.permission import _permission
 
-from tidegrade.core import _permission
 
 #: Assumed length of a change of primary, in seconds, until one has been
 #: observed: the permissions of unreachable proxies expire, then an endpoint is
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -8,7 +8,6 @@
 from tidegrade import config
 from tidegrade.core import _events
 from tidegrade.core import _jobs
-from tidegrade.core import _permission
 from tidegrade.core import _pool
 from tidegrade.core import _recovery
 from tidegrade.core import _row
@@ -17,6 +16,7 @@
 from tidegrade.core import _types
 from tidegrade.core import _view
 from tidegrade.core.health import _work
+from tidegrade.core.permission import _permission
 
 #: After a pause of the process longer than this, in seconds, the proxy
 #: reads the group's row again before it acknowledges writes. During the
--- a/src/tidegrade/core/_watching.py
+++ b/src/tidegrade/core/_watching.py
@@ -2,9 +2,9 @@
 
 from tidegrade.core import _detector
 from tidegrade.core import _membership
-from tidegrade.core import _permission
 from tidegrade.core import _row
 from tidegrade.core import _supervision as sv
+from tidegrade.core.permission import _permission
 from tidegrade.core.placing import _rendezvous
 
 #: Delay between the turns of the proxies to begin an attempt, in seconds.
--- /dev/null
+++ b/src/tidegrade/core/permission/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on who may acknowledge writes in a term."""
--- a/tests/core/test_failover.py
+++ b/tests/core/test_failover.py
@@ -6,8 +6,8 @@
 
 from tidegrade import config
 from tidegrade import core
-from tidegrade.core import _permission
 from tidegrade.core import _watching
+from tidegrade.core.permission import _permission
 from tidegrade.core import supervision
 
 NAMES = ('a', 'b', 'c')
--- a/tests/core/test_permission.py
+++ b/tests/core/test_permission.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tidegrade.core import _permission
+from tidegrade.core.permission import _permission
 
 MEMBERS = ('a', 'b', 'c')
 LENGTH = _permission.PERMISSION_LENGTH
--- a/tests/proofs/test_forgetful.py
+++ b/tests/proofs/test_forgetful.py
@@ -5,8 +5,8 @@
 
 from tidegrade import config
 from tidegrade import core
-from tidegrade.core import _permission
 from tidegrade.core import _state
+from tidegrade.core.permission import _permission
 
 
 def settings(seed: int, **changes) -> fakes.RunSettings:
--- a/tests/proofs/test_guards.py
+++ b/tests/proofs/test_guards.py
@@ -6,11 +6,11 @@
 from tidegrade import config
 from tidegrade import core
 from tidegrade.core import _confirm
-from tidegrade.core import _permission
 from tidegrade.core import _reads
 from tidegrade.core import _row
 from tidegrade.core import _state
 from tidegrade.core import _writes
+from tidegrade.core.permission import _permission
 
 SEEDS = range(100, 130)
 
