Show that a cut-off proxy serves old data after a promotion

No test of the real processes showed it.

Cause of the gap: the stand-in differs from the users' pages in four points. A promotion left the promises of the other replicas in place; a replica reached a new primary at once; positions began anew with each term; and a proxy could be cut off from the store and from instances, but not from the other proxies.

Change: the stand-in can do these, all off by default. With `routed` each connection of a proxy to an instance, to another proxy or to the store has a relay of its own, since proxies tell each other their ports. An instance can be replaced as planned. Callers write and read at all proxies, and a check compares the log of each read with the commits that callers were told of; it knows no terms, apart from what a promotion rolled back.

Before: the check of the soak left such commits out, since the newest log lacks them.

--- a/standins/tidegrade_edge/__init__.py
+++ b/standins/tidegrade_edge/__init__.py
@@ -7,12 +7,16 @@
 
 from tidegrade_edge._client import Client
 from tidegrade_edge._client import Reply
+from tidegrade_edge._history import DATABASES
+from tidegrade_edge._history import History
+from tidegrade_edge._history import Statement
 from tidegrade_edge._instance import Commit
 from tidegrade_edge._instance import Entry
 from tidegrade_edge._instance import Instance
 from tidegrade_edge._instance import Misstep
 from tidegrade_edge._instance import Run
 from tidegrade_edge._instance import SetupFault
+from tidegrade_edge._instance import Traits
 from tidegrade_edge._relay import Direction
 from tidegrade_edge._relay import Relay
 from tidegrade_edge._site import free_ports
@@ -22,10 +26,12 @@
 from tidegrade_edge._store import Store
 
 __all__ = [
+    'DATABASES',
     'Client',
     'Commit',
     'Direction',
     'Entry',
+    'History',
     'Instance',
     'Misstep',
     'ProxyProcess',
@@ -35,6 +41,8 @@
     'SetupFault',
     'Site',
     'SiteSettings',
+    'Statement',
     'Store',
+    'Traits',
     'free_ports',
 ]
--- a/standins/tidegrade_edge/_instance.py
+++ b/standins/tidegrade_edge/_instance.py
@@ -1,6 +1,7 @@
 """A database instance of the stand-in: a log, and sessions over lines."""
 
 import enum
+import itertools
 import time
 
 import anyio
@@ -11,6 +12,7 @@
 
 #: How long after meeting the new primary an old one goes on.
 OLD_PRIMARY_GOES_ON = 1.0
+NEVER = float('-inf')
 
 
 @attrs.frozen
@@ -52,6 +54,24 @@
     tenant: str = ''
     at: float = 0.0
     shape: str = ''
+    #: The commits that a read saw, by the ids of their requests.
+    saw: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Traits:
+    """How instances behave where the platform's pages leave a choice.
+
+    With ``numbers_go_on`` positions are those of the last log entry, and a
+    new term continues the numbers of the former one. A replica takes
+    ``reconnect_s`` seconds to reach a new primary and reports the former
+    term until then. With ``applies_late`` a promoted instance applies what
+    it had received as late as it did before.
+    """
+
+    numbers_go_on: bool = False
+    reconnect_s: float = 0.0
+    applies_late: bool = False
 
 
 class Misstep(enum.Enum):
@@ -124,9 +144,15 @@
     """One instance of a service; the site replicates between them."""
 
     def __init__(
-        self, instance_id: str, service: str, zone: str, max_conns: int
+        self,
+        instance_id: str,
+        service: str,
+        zone: str,
+        max_conns: int,
+        traits: Traits | None = None,
     ) -> None:
         self.id = instance_id
+        self.traits = traits or Traits()
         self.max_conns = max_conns
         self.service = service
         self.zone = zone
@@ -152,29 +178,44 @@
         self._next_conn = 0
         self.most_conns = 0
         self._scope: anyio.CancelScope | None = None
+        #: The term whose primary it receives from, and since when it could.
+        self._upstream_term = 1
+        self._upstream_at = NEVER
 
     # Its log --------------------------------------------------------------
 
     @property
     def received(self) -> tuple[int, int]:
         """Give the position that has been received."""
+        if self.traits.numbers_go_on:
+            return self._position(len(self.log))
         own = [e.number for e in self.log if e.term == self.term]
         return (self.term, max(own, default=0))
 
     @property
     def applied(self) -> tuple[int, int]:
         """Give the position that reads see."""
+        if self.traits.numbers_go_on:
+            return self._position(self._applied_count())
         if self.role == 'primary':
             return self.received
         shown = [self.log[i] for i in range(self._applied_count())]
         own = [e.number for e in shown if e.term == self.term]
         return (self.term, max(own, default=0))
 
+    def _position(self, count: int) -> tuple[int, int]:
+        """Give the position of an entry of the log, counted from 1."""
+        if not count:
+            return (1, 0)
+        last = self.log[count - 1]
+        return (last.term, last.number)
+
     def _applied_count(self) -> int:
         due = time.monotonic() - self.faults.apply_lag
-        if self.role == 'primary':
+        if self.role == 'primary' and not self.traits.applies_late:
             return len(self.log)
-        due_now = sum(at <= due for at in self.received_at)
+        received = itertools.takewhile(lambda at: at <= due, self.received_at)
+        due_now = sum(1 for _ in received)
         # What was applied stays so, however slowly the rest comes.
         self._applied = max(self._applied, due_now)
         return self._applied
@@ -186,6 +227,13 @@
             found.update(entry.puts)
         return found
 
+    def reaches(self, primary: 'Instance', now: float) -> bool:
+        """Tell whether it receives; it first connects to a new primary."""
+        if primary.term != self._upstream_term:
+            self._upstream_term = primary.term
+            self._upstream_at = now + self.traits.reconnect_s
+        return now >= self._upstream_at
+
     def follow(self, primary: 'Instance') -> None:
         """Take over the primary's log, as replication does."""
         self.term = primary.term
@@ -200,11 +248,18 @@
         self.log = self.log[:kept] + list(new)
         self._applied = min(self._applied, kept)
 
+    def copy_log(self, other: 'Instance') -> None:
+        """Begin with another instance's log."""
+        self.term = other.term
+        self.log = list(other.log)
+        self.received_at = list(other.received_at)
+
     def lead(self) -> None:
         """Lead the next term with what has been received."""
         self.term += 1
         self.role = 'primary'
         self.held = 0
+        self._upstream_term = self.term
 
     # Its life -------------------------------------------------------------
 
@@ -342,6 +397,10 @@
         shape: str = '',
     ) -> None:
         """Note a statement that runs."""
+        saw: tuple[str, ...] = ()
+        if text.startswith('READ '):
+            shown = self.log[: self._applied_count()]
+            saw = tuple(entry.request_id for entry in shown)
         self.runs.append(
             Run(
                 request_id,
@@ -354,6 +413,7 @@
                 session.tenant,
                 time.monotonic(),
                 shape,
+                saw,
             )
         )
 
@@ -427,14 +487,16 @@
         _, number = self.received
         entry = Entry(self.term, number + 1, request_id, tuple(puts))
         self.log.append(entry)
-        self.commits.append(Commit(entry, self.id, time.monotonic()))
-        self.received_at.append(time.monotonic())
+        now = time.monotonic()
+        self.commits.append(Commit(entry, self.id, now))
+        # A commit waits for nothing but what was received before it.
+        self.received_at.append(NEVER if self.traits.applies_late else now)
 
     # Supervision ----------------------------------------------------------
 
     def _row(self) -> list[str]:
         term, number = self.received
-        row = f'ROW {self.role} {term} {term}.{number} {self.held} 0 0 1'
+        row = f'ROW {self.role} {self.term} {term}.{number} {self.held} 0 0 1'
         return [row, 'DONE -']
 
     def _do_status(self, session, request_id, fields) -> list[str]:
--- a/standins/tidegrade_edge/_site.py
+++ b/standins/tidegrade_edge/_site.py
@@ -23,6 +23,7 @@
 from tidegrade_edge import _client
 from tidegrade_edge import _instance
 from tidegrade_edge import _relay
+from tidegrade_edge import _routed
 from tidegrade_edge import _store
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -31,6 +32,8 @@
 ROUND = 0.005
 #: Pause between heartbeats of the instances, in seconds.
 HEARTBEAT = 0.3
+#: Place of the port for other proxies among those of a proxy.
+PEERS_PORT = 2
 
 
 @attrs.frozen
@@ -40,6 +43,11 @@
     Where it is ``relayed``, all connections of proxies to the store and to
     instances run through relays, which can disturb them. ``cores`` are the
     stated capacities of the proxies' VMs; they state none if it is empty.
+
+    Where it is ``routed``, the connections of each proxy to each instance and
+    to each other proxy run through a relay of their own, those to the store
+    too. With ``promotion_ends_promises`` a promotion ends the promises of the
+    service's other replicas, as the platform's pages have it.
     """
 
     service: str = 'svc-1'
@@ -50,6 +58,9 @@
     relayed: bool = False
     max_conns: int = 30
     cores: tuple[float, ...] = ()
+    routed: bool = False
+    promotion_ends_promises: bool = False
+    traits: _instance.Traits = attrs.field(factory=_instance.Traits)
 
 
 @attrs.define
@@ -78,10 +89,7 @@
         self.cfg = cfg or SiteSettings()
         self.store = _store.Store()
         self.instances = [
-            _instance.Instance(
-                f'i-{zone}', self.cfg.service, zone, self.cfg.max_conns
-            )
-            for zone in ZONES
+            self._make_instance(f'i-{zone}', zone) for zone in ZONES
         ]
         self.instances[0].role = 'primary'
         self.proxies: list[ProxyProcess] = []
@@ -89,12 +97,17 @@
         self.promotions: list[tuple[str, str, int]] = []
         #: When each term began, by the term.
         self.led_since: dict[int, float] = {}
+        #: The commits in the log with which each term began, by the term.
+        self.led_with: dict[int, frozenset[str]] = {}
         self._folder = folder
         self._api_port = 0
         #: What stands between each proxy and the store, by its number.
         self.store_relays: list[_relay.Relay] = []
         #: What stands between the proxies and each instance, by its id.
         self.relays: dict[str, _relay.Relay] = {}
+        #: What stands between a proxy and a port, by its number and the port.
+        self.routes: dict[tuple[int, int], _relay.Relay] = {}
+        self._ports: list[list[int]] = []
         self._tasks: anyio.abc.TaskGroup | None = None
         self._config_version = 0
         #: Tenants of each configuration; None: nobody needs a key.
@@ -108,6 +121,14 @@
         """Give the instance that leads, or led last, the newest term."""
         return max(self.instances, key=lambda i: (i.role == 'primary', i.term))
 
+    def _make_instance(
+        self, instance_id: str, zone: str
+    ) -> _instance.Instance:
+        cfg = self.cfg
+        return _instance.Instance(
+            instance_id, cfg.service, zone, cfg.max_conns, cfg.traits
+        )
+
     # Life -----------------------------------------------------------------
 
     async def start(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -125,11 +146,12 @@
             relay = _relay.Relay(self._api_port)
             self.store_relays.append(relay)
             await tasks.start(relay.serve)
+        if self.cfg.routed:
+            self._ports = [free_ports(4) for _ in range(self.cfg.proxies)]
+            for ports in self._ports:
+                await self._route(ports[PEERS_PORT])
         for instance in self.instances:
-            await tasks.start(instance.serve)
-            relay = _relay.Relay(instance.port)
-            self.relays[instance.id] = relay
-            await tasks.start(relay.serve)
+            await self._start_instance(instance)
         tasks.start_soon(self._replicate)
         tasks.start_soon(self._beat)
         self.configure()
@@ -137,6 +159,33 @@
             self.start_proxy(number)
         await self.until_ready()
 
+    async def _start_instance(self, instance: _instance.Instance) -> None:
+        assert self._tasks is not None
+        await self._tasks.start(instance.serve)
+        relay = _relay.Relay(instance.port)
+        self.relays[instance.id] = relay
+        await self._tasks.start(relay.serve)
+        if self.cfg.routed and (0, instance.port) not in self.routes:
+            await self._route(instance.port)
+
+    async def _route(self, port: int) -> None:
+        """Have each proxy's connections to a port run through a relay."""
+        assert self._tasks is not None
+        for number in range(self.cfg.proxies):
+            relay = _relay.Relay(port)
+            await self._tasks.start(relay.serve)
+            self.routes[number, port] = relay
+        for number in range(self.cfg.proxies):
+            table = {
+                str(target): relay.port
+                for (by, target), relay in self.routes.items()
+                if by == number
+            }
+            self._routes_path(number).write_text(json.dumps(table))
+
+    def _routes_path(self, number: int) -> pathlib.Path:
+        return self._folder / f'routes-{number}.json'
+
     def stop(self) -> None:
         """End the proxies that were started here."""
         for proxy in self.proxies:
@@ -159,6 +208,70 @@
         server = uvicorn.Server(cfg)
         await server.serve(sockets=[sock])
 
+    async def replace(
+        self,
+        old: _instance.Instance,
+        drain_s: float,
+        same_address: bool = False,
+    ) -> _instance.Instance:
+        """Replace an instance as planned; return once the old one has ended.
+
+        It reports that it drains, and ends after ``drain_s`` seconds. A new
+        one gets its log: at once at another address, or at the same address
+        when the old one has ended.
+        """
+        old.state = 'draining'
+        new = self._make_instance(f'{old.id}-n', old.zone)
+        if not same_address:
+            await self._join(new, old)
+        await anyio.sleep(drain_s)
+        old.crash()
+        self.store.drop('servers', old.id)
+        if same_address:
+            new.port = old.port
+            await self._join(new, old)
+        return new
+
+    async def _join(
+        self, new: _instance.Instance, old: _instance.Instance
+    ) -> None:
+        """Start an instance with the log of another."""
+        new.copy_log(old)
+        await self._start_instance(new)
+        self.instances.append(new)
+
+    # Cuts -----------------------------------------------------------------
+
+    def links(
+        self, number: int, instance: _instance.Instance
+    ) -> list[_relay.Relay]:
+        """Give what stands between a proxy and an instance."""
+        return [self.routes[number, instance.port]]
+
+    def system_links(self, number: int) -> list[_relay.Relay]:
+        """Give what stands between a proxy, the others and the store."""
+        own = self._ports[number][PEERS_PORT]
+        found = [self.store_relays[number]]
+        for other, ports in enumerate(self._ports):
+            if other != number:
+                found.append(self.routes[other, own])
+                found.append(self.routes[number, ports[PEERS_PORT]])
+        return found
+
+    @staticmethod
+    def cut(links: list[_relay.Relay]) -> None:
+        """Let open connections go silent and refuse new ones."""
+        for relay in links:
+            relay.refusing = True
+            relay.silence()
+
+    @staticmethod
+    def mend(links: list[_relay.Relay]) -> None:
+        """End a cut; connections that went silent end."""
+        for relay in links:
+            relay.refusing = False
+            relay.reset()
+
     # The operator ---------------------------------------------------------
 
     def configure(self, extra: tuple[str, ...] = (), **changes: object) -> int:
@@ -235,6 +348,11 @@
             instance.term = max(i.term for i in self.instances)
             instance.lead()
             self.led_since[instance.term] = time.monotonic()
+            kept = frozenset(entry.request_id for entry in instance.log)
+            self.led_with[instance.term] = kept
+            if self.cfg.promotion_ends_promises:
+                for other in self.instances:
+                    other.held = 0
 
     # Instances ------------------------------------------------------------
 
@@ -259,7 +377,7 @@
                 if now - met > _instance.OLD_PRIMARY_GOES_ON:
                     instance.role = 'replica'
                     self._met.pop(instance.id)
-            elif not instance.held:
+            elif not instance.held and instance.reaches(primary, now):
                 instance.follow(primary)
 
     async def _beat(self) -> None:
@@ -294,10 +412,11 @@
 
     def start_proxy(self, number: int) -> ProxyProcess:
         """Start a proxy as a process of its own."""
-        front, ready, peers, metrics = free_ports(4)
+        ports = self._ports[number] if self.cfg.routed else free_ports(4)
+        front, ready, peers, metrics = ports
         name = f'front-{number}'
         store_port = self._api_port
-        if self.cfg.relayed:
+        if self.cfg.relayed or self.cfg.routed:
             store_port = self.store_relays[number].port
         store = f'127.0.0.1:{store_port}'
         settings = {
@@ -320,9 +439,14 @@
         path = self._folder / f'{name}.json'
         path.write_text(json.dumps(settings))
         log = (self._folder / f'{name}.log').open('ab')
+        program = ROOT / 'deploy' / 'tidegrade.py'
+        env = {**os.environ, 'TIDEGRADE_SETTINGS': str(path)}
+        if self.cfg.routed:
+            program = pathlib.Path(_routed.__file__)
+            env[_routed.ROUTES_VARIABLE] = str(self._routes_path(number))
         process = subprocess.Popen(
-            [sys.executable, str(ROOT / 'deploy' / 'tidegrade.py')],
-            env={**os.environ, 'TIDEGRADE_SETTINGS': str(path)},
+            [sys.executable, str(program)],
+            env=env,
             stdout=log,
             stderr=log,
         )
--- /dev/null
+++ b/tests/edge/test_edge_stale_reads.py
@@ -0,0 +1,63 @@
+"""Reads that lack acknowledged commits while the primary changes.
+
+Users saw reads on `session` and `bounded` routes that lacked a commit which
+had been acknowledged (`docs/incidents/stale-reads.md`). The check is theirs:
+it looks at the log of each read and knows nothing of terms.
+"""
+
+import contextlib
+
+import anyio
+import pytest
+import tidegrade_edge as edge
+
+pytestmark = pytest.mark.anyio
+
+#: The users' promotions, and a reconnection that they may have.
+TRAITS = edge.Traits(numbers_go_on=True, reconnect_s=1.0)
+SETTINGS = edge.SiteSettings(
+    routed=True,
+    promote_delay=0.6,
+    promotion_ends_promises=True,
+    traits=TRAITS,
+)
+
+
+@contextlib.asynccontextmanager
+async def calling(site):
+    """Yield the history of callers that write and read at all proxies."""
+    history = edge.History(site)
+    async with anyio.create_task_group() as tasks:
+        for number in range(len(site.proxies)):
+            for database in edge.DATABASES:
+                tasks.start_soon(history.call, number, database)
+        await anyio.sleep(1)
+        yield history
+        tasks.cancel_scope.cancel()
+
+
+async def wait_for_term(site, term: int) -> None:
+    """Wait until a promotion has taken effect."""
+    with anyio.fail_after(20):
+        while term not in site.led_since:
+            await anyio.sleep(0.01)
+
+
+async def test_a_cut_off_proxy_serves_no_old_copy_after_a_promotion(
+    run_site, tmp_path
+):
+    """A proxy served the former primary's data after a promotion.
+
+    The proxy is cut off from the store and from the other proxies, which
+    replace the primary. The promotion ends the promise of the remaining
+    replica, so until that replica has reached the new primary it grants the
+    former term, and the former primary does so too.
+    """
+    async with run_site(tmp_path, SETTINGS) as site, calling(site) as history:
+        former = site.primary
+        former.faults.deaf = True
+        links = [*site.links(1, former), *site.links(2, former)]
+        site.cut([*site.system_links(0), *links])
+        await wait_for_term(site, 2)
+        await anyio.sleep(2.5)
+    assert history.stale_reads() == []
