Show that proxies restarted in a promotion acknowledge lost writes

What callers saw: the same as in the case of a cut-off proxy, with nothing cut off. The primary crashes, the proxies that order the promotion are killed, and the primary comes back before the promotion takes effect.

Cause, as far as the logs show: the row names the former primary until the attempt is taken over 3.1 s later. A restarted proxy knows of no release. The promotion has ended the promise of the remaining replica, which reports the former term until it has reached the new primary, so with the former primary it is a majority that grants the former term.

--- a/tests/edge/test_edge_stale_reads.py
+++ b/tests/edge/test_edge_stale_reads.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import signal
 
 import anyio
 import pytest
@@ -14,7 +15,7 @@
 pytestmark = pytest.mark.anyio
 
 #: The users' promotions, and a reconnection that they may have.
-TRAITS = edge.Traits(numbers_go_on=True, reconnect_s=1.0)
+TRAITS = edge.Traits(numbers_go_on=True, reconnect_s=1.5)
 SETTINGS = edge.SiteSettings(
     routed=True,
     promote_delay=0.6,
@@ -61,3 +62,42 @@
         await wait_for_term(site, 2)
         await anyio.sleep(2.5)
     assert history.stale_reads() == []
+
+
+async def wait_for_order(site) -> None:
+    """Wait until a promotion has been ordered."""
+    with anyio.fail_after(20):
+        while not site.promotions:
+            await anyio.sleep(0.005)
+
+
+async def restart_proxies(site, numbers) -> None:
+    """Kill proxies at the same moment and start each anew."""
+    for number in numbers:
+        site.proxies[number].send(signal.SIGKILL)
+    for number in numbers:
+        site.proxies[number].process.wait()
+        site.restart_proxy(number)
+
+
+async def test_proxies_that_restart_in_a_promotion_serve_no_old_copy(
+    run_site, tmp_path
+):
+    """Restarted proxies acknowledged writes at a superseded primary.
+
+    The primary crashes, and its promise is not among those of the majority.
+    All proxies are killed as soon as they have ordered a promotion, and the
+    primary comes back before it takes effect. Then the row still names that
+    primary, and nobody publishes the new term until the attempt is taken
+    over 3.1 s later. Nothing is cut off.
+    """
+    async with run_site(tmp_path, SETTINGS) as site, calling(site) as history:
+        former = site.primary
+        former.crash()
+        await wait_for_order(site)
+        await restart_proxies(site, range(len(site.proxies)))
+        site.restart_instance(former)
+        # The attempt is taken over, which begins another term.
+        await wait_for_term(site, 3)
+        await anyio.sleep(2.5)
+    assert history.stale_reads() == []
