Count only grants that no lost promise can explain

What callers saw: reads on session and bounded routes that lacked a write which had been acknowledged. The write was acknowledged at the former primary after another endpoint had been promoted, by a proxy that was cut off from the others, or, with nothing cut off, by proxies that were restarted while a promotion was under way. Each later read lacks such a write; a read that was dated there lacks the writes of the new term.

Cause: the permission of a term rests on promises that a member never loses before every proxy knows of the next term. Instances of the users' platform lose them: a promotion ends the suspension of all replicas of the service, not only of the one that is promoted, an order to follow ends it, and so does a restart. Until such a replica follows the new primary it reports the former term without a promise, and makes a majority with the former primary. A proxy that restarts knows nothing of a release that its former run has given. The class of fault: what is believed of a member outlives the event that ended it.

Ruled out: a longer fence (the promotion itself ends it, whoever ordered it), and a read of the row asked for before the grants (the promotion may come between).

Change: a grant counts only if its poll was sent while the permission was held, within the length of a permission after the row showed no attempt to end the term, or while another proxy holds the permission, and if it comes from a process that ran already when the row was read. Other grants are kept until the row was read, which is requested at once. Evidence between proxies tells until when the sender holds the permission. Members whose promises are durable (PostgreSQL) are not concerned. The fakes end the promises of all replicas with a promotion, as the platform does.

--- a/src/tidegrade/core/_evidence.py
+++ b/src/tidegrade/core/_evidence.py
@@ -21,6 +21,7 @@
 class Evidence:
     """The grants and the primary's log position of a group in one term.
 
+    The other proxy holds the permission of the term until ``held_until``.
     ``position`` is a lower bound of the primary's log position at
     ``position_at``, when the primary was asked; None if it is unknown. Times
     are on the clock of the process that holds this value.
@@ -30,6 +31,7 @@
     grants: tuple[MemberGrant, ...] = ()
     position: int | None = None
     position_at: float = float('-inf')
+    held_until: float = float('-inf')
 
 
 def shifted(evidence: Evidence, seconds: float) -> Evidence:
@@ -41,4 +43,5 @@
             for grant in evidence.grants
         ),
         position_at=evidence.position_at + seconds,
+        held_until=evidence.held_until + seconds,
     )
--- a/src/tidegrade/core/_exchange.py
+++ b/src/tidegrade/core/_exchange.py
@@ -56,10 +56,13 @@
         _evidence.MemberGrant(name, grant.promised, grant.sent_at)
         for name, grant in state.permission.grants().items()
     )
+    held_until = float('-inf')
+    if state.registered:
+        held_until = state.permission.expires_at()
     newest = state.samples.newest
     if newest is None:
-        return _evidence.Evidence(term, grants)
-    return _evidence.Evidence(term, grants, newest.lsn, newest.at)
+        return _evidence.Evidence(term, grants, held_until=held_until)
+    return _evidence.Evidence(term, grants, newest.lsn, newest.at, held_until)
 
 
 def apply_evidence(
@@ -73,6 +76,7 @@
     if state.row is None or evidence.term != known:
         return
     state.row_confirmed(event.asked_at)
+    state.permission.peer_held(evidence.held_until)
     for grant in evidence.grants:
         state.permission.answered(grant.member, grant.promised, grant.at)
     if evidence.position is not None:
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -168,6 +168,13 @@
         """Return whether writes may be acknowledged at ``now``."""
         return self._state.may_acknowledge(now)
 
+    def needs_row(self, now: float) -> bool:
+        """Return whether only a read of the row renews the permission.
+
+        Evidence of a proxy that holds the permission does so as well.
+        """
+        return self._state.permission.needs_row(now)
+
     def in_use(self) -> bool:
         """Return whether a request or transaction is unfinished."""
         return bool(len(self._registry) or len(self._txns))
@@ -186,6 +193,8 @@
             self._park_if(self._writes.acknowledge(pending, now), pending)
         if len(self._confirmations):
             self._polls.poll_due(now)
+        if self.needs_row(now):
+            self._state.emit(_events.FetchRow())
         self._controls.run(now)
         self._dispatcher.dispatch(now)
         self._refuse_unservable(now)
@@ -243,7 +252,7 @@
         conn = self._state.pool.get(event.conn)
         if conn is None:
             return
-        self._state.pool.opened(conn)
+        self._state.pool.opened(conn, now)
         if conn.state is _pool.ConnState.IDLE:
             self._polls.poll_due(now)
 
@@ -296,15 +305,17 @@
         conn.owner = None
         if conn.state is _pool.ConnState.BUSY:
             conn.state = _pool.ConnState.IDLE
-        if isinstance(outcome, _jobs.JobDone):
+        if outcome.report is not None:
+            self._state.pool.answered(conn)
             _reports.observe(
-                self._state, conn.endpoint, outcome.report, sent_at, now
+                self._state,
+                conn.endpoint,
+                outcome.report,
+                sent_at,
+                now,
+                conn.life_since,
             )
-        else:
-            if outcome.report is not None:
-                _reports.observe(
-                    self._state, conn.endpoint, outcome.report, sent_at, now
-                )
+        if isinstance(outcome, _jobs.JobFailed):
             self._job_failed(conn, outcome, now)
         self._notify_owner(conn, job, owner, outcome, sent_at, now)
 
@@ -368,18 +379,24 @@
         state = self._state
         if event.asked_at is not None:
             state.row_confirmed(event.asked_at)
-        if state.row is not None and not is_newer(event.row, state.row):
-            return
+        if state.row is None or is_newer(event.row, state.row):
+            self._take_row(event.row, now)
+        if event.asked_at is not None:
+            state.row_read(event.row, event.asked_at)
+
+    def _take_row(self, row: _row.GroupRow, now: float) -> None:
+        """Replace the known row by a newer one."""
+        state = self._state
         state.note_hanging_primary(now)
-        former, state.row = state.row, event.row
-        if event.row.attempt is None:
+        former, state.row = state.row, row
+        if row.attempt is None:
             state.recovery.change_ended(now)
         else:
             state.recovery.change_began(now)
-        if former is not None and event.row.term > former.term:
+        if former is not None and row.term > former.term:
             state.record_former_position(former)
-        if former is None or event.row.term > former.term:
-            self._new_term(event.row, now)
+        if former is None or row.term > former.term:
+            self._new_term(row, now)
 
     def _new_term(self, row: _row.GroupRow, now: float) -> None:
         rules = _permission.PermissionRules(row.members)
@@ -435,6 +452,8 @@
 
     def _registered(self, event: _events.Registered, now: float) -> None:
         self._state.registered = event.registered
+        if event.registered:
+            self._state.permission.registered(now)
 
     def _leaving_endpoints_changed(
         self, event: _events.LeavingEndpointsChanged, now: float
--- a/src/tidegrade/core/_pool.py
+++ b/src/tidegrade/core/_pool.py
@@ -32,7 +32,9 @@
     ``owner`` is the request, transaction or control job that the running
     job belongs to; None for a poll. ``values`` and ``prepared`` are the
     session settings and prepared statements that exist on the connection.
-    It runs statements of ``tenant`` only; None means of all tenants.
+    It runs statements of ``tenant`` only; None means of all tenants. Its
+    endpoint is known not to have been restarted since ``life_since``, which
+    is at first the time at which the connection was open.
     """
 
     id: int
@@ -43,6 +45,7 @@
     owner: object = None
     sent_at: float = 0.0
     deadline: float = 0.0
+    life_since: float = float('inf')
     values: dict[str, str] = attrs.field(factory=dict)
     prepared: set[_types.Prepared] = attrs.field(factory=set)
 
@@ -69,6 +72,8 @@
         self._conns: dict[int, Conn] = {}
         self._by_endpoint: dict[str, list[Conn]] = {}
         self._backoffs: dict[str, Backoff] = {}
+        #: Endpoints with connections that may be of different processes.
+        self._unlinked: set[str] = set()
         self._next_id = 1
 
     def __iter__(self):
@@ -210,12 +215,29 @@
         )
         return conn
 
-    def opened(self, conn: Conn) -> None:
+    def opened(self, conn: Conn, now: float) -> None:
         """Mark a connection as idle and reset the endpoint's backoff."""
         if conn.state is ConnState.OPENING:
             conn.state = ConnState.IDLE
+        conn.life_since = now
+        self._unlinked.add(conn.endpoint)
         self._backoffs.pop(conn.endpoint, None)
 
+    def answered(self, conn: Conn) -> None:
+        """Record that the job on a connection was answered.
+
+        The process that answers also accepted the endpoint's connections
+        that were open when the job was sent, so it is the same one.
+        """
+        if conn.endpoint not in self._unlinked:
+            return
+        conns = self._by_endpoint.get(conn.endpoint, ())
+        for other in conns:
+            if other.life_since <= conn.sent_at:
+                other.life_since = min(other.life_since, conn.life_since)
+        if len({other.life_since for other in conns}) <= 1:
+            self._unlinked.discard(conn.endpoint)
+
     def opening_timed_out(self, conn: Conn, now: float) -> None:
         """Back off after an attempt to connect that timed out."""
         self._back_off(conn.endpoint, now)
--- a/src/tidegrade/core/_reports.py
+++ b/src/tidegrade/core/_reports.py
@@ -12,19 +12,21 @@
     report: _types.EndpointReport,
     sent_at: float,
     now: float,
+    life_since: float,
 ) -> None:
     """Process an endpoint's report whose request was sent at ``sent_at``.
 
-    The report updates the view of the endpoint, the endpoint's grant of the
-    permission to acknowledge, the samples of the primary's position, and
-    the replication delay of a replica.
+    The endpoint has not been restarted since ``life_since``. The report
+    updates the view of the endpoint, the endpoint's grant of the permission
+    to acknowledge, the samples of the primary's position, and the
+    replication delay of a replica.
     """
     state.views[name].record_report(report, sent_at, now)
     row = state.row
     if row is None:
         return
     if report.promised is not None and _may_grant(state, row, report):
-        state.permission.answered(name, report.promised, sent_at)
+        state.permission.answered(name, report.promised, sent_at, life_since)
     promised = report.promised or 0
     if report.marker > row.marker or promised > row.term:
         state.emit(_events.FetchRow())
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -17,6 +17,7 @@
 from tidegrade.core import _view
 from tidegrade.core.health import _work
 from tidegrade.core.permission import _permission
+from tidegrade.core.permission import _promises
 
 #: After a pause of the process longer than this, in seconds, the proxy
 #: reads the group's row again before it acknowledges writes. During the
@@ -100,7 +101,11 @@
                 _shares.shares_of(cfg, settings.max_proxies),
                 rng,
             ),
-            permission=_permission.Permission(),
+            permission=_permission.Permission(
+                _promises.ForgetfulPromises()
+                if settings.traits.promotion_clears_promises
+                else _promises.DurablePromises()
+            ),
             views={n: _view.EndpointView(n) for n in cfg.endpoints},
         )
 
@@ -219,6 +224,14 @@
         if self.paused_at is not None and asked_at >= self.paused_at:
             self.paused_at = None
 
+    def row_read(self, row: _row.GroupRow, asked_at: float) -> None:
+        """Record that the platform was asked for the row at ``asked_at``.
+
+        Only a row without an attempt shows that the term is not being ended.
+        """
+        if row == self.row and row.attempt is None:
+            self.permission.row_read(asked_at)
+
     def record_position(self, at: float, lsn: int) -> None:
         """Record the primary's position for a poll that was sent at ``at``.
 
--- a/src/tidegrade/core/permission/_permission.py
+++ b/src/tidegrade/core/permission/_permission.py
@@ -3,6 +3,7 @@
 import attrs
 
 from tidegrade.core import _types
+from tidegrade.core.permission import _promises
 
 #: Length of a permission, in seconds, from the time its poll was sent. It is
 #: a constant and not a setting because all proxies must use the same value:
@@ -20,6 +21,11 @@
 PERMISSION_WAIT = PERMISSION_LENGTH * MAX_DRIFT_RATIO
 
 
+#: Remaining length of the permission, in seconds, at which the row is read if
+#: that would extend it. It covers a read of the platform and a retry.
+ROW_MARGIN_S = 0.3
+
+
 @attrs.frozen
 class PermissionRules:
     """The members that vote on a permission."""
@@ -32,17 +38,6 @@
         return len(self.members) // 2 + 1
 
 
-@attrs.frozen
-class Grant:
-    """The newest poll answer of a member.
-
-    ``promised`` is the term that the member had promised by then.
-    """
-
-    sent_at: float
-    promised: int
-
-
 class Permission:
     """Write permission for a term, granted by a majority of endpoints.
 
@@ -54,14 +49,22 @@
     majority of members. Any majority polled later includes a member that
     refuses, so no proxy gains the permission again, and each proxy that
     holds it loses it within that time.
+
+    Where members can lose a promise, a grant counts only if ``promises``
+    covers it. One that does not count yet is kept until it does.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, promises: _promises.Promises | None = None) -> None:
+        self._promises = promises or _promises.DurablePromises()
         self._rules = PermissionRules()
         self._term = 0
         self._released_below = 0
         self._released_at = float('inf')
-        self._grants: dict[str, Grant] = {}
+        self._grants: dict[str, _promises.Grant] = {}
+        #: The newest answer of each member that does not count yet.
+        self._uncovered: dict[str, _promises.Grant] = {}
+        #: The latest time until which this term's permission was held.
+        self._held_until = float('-inf')
         #: What `_granted_until` returns, None if the grants have changed. It
         #: is read several times for each event of a group.
         self._known_until: float | None = None
@@ -79,19 +82,82 @@
         self._term = term
         self._rules = rules
         self._grants.clear()
+        self._uncovered.clear()
+        self._held_until = float('-inf')
+        self._promises.start_term()
         self._known_until = None
         if term >= self._released_below:
             self._released_at = float('inf')
 
-    def answered(self, member: str, promised: int, sent_at: float) -> None:
-        """Record a poll answer of ``member``; older answers are ignored."""
+    def answered(
+        self,
+        member: str,
+        promised: int,
+        sent_at: float,
+        life_since: float = float('-inf'),
+    ) -> None:
+        """Record a poll answer of ``member``; older answers are ignored.
+
+        The member has not been restarted since ``life_since``.
+        """
         if member not in self._rules.members:
             return
-        known = self._grants.get(member)
-        if known is not None and sent_at < known.sent_at:
+        answer = _promises.Grant(sent_at, promised, life_since)
+        if _is_older(answer, self._grants.get(member)):
             return
-        self._grants[member] = Grant(sent_at, promised)
+        if promised > self._term:
+            self._uncovered.pop(member, None)
+            self._record(member, answer)
+        elif not _is_older(answer, self._uncovered.get(member)):
+            self._uncovered[member] = answer
+            self._count_covered()
+
+    def registered(self, at: float) -> None:
+        """Record that supervisors can know of this proxy from ``at`` on."""
+        self._promises.registered(at)
+
+    def row_read(self, asked_at: float) -> None:
+        """Record that the row showed the term and no attempt to end it.
+
+        The platform was asked for it at ``asked_at``.
+        """
+        self._promises.row_read(asked_at)
+        self._count_covered()
+
+    def peer_held(self, until: float) -> None:
+        """Record that another proxy holds the permission until then."""
+        self._promises.peer_held(until)
+        self._count_covered()
+
+    def _record(self, member: str, answer: _promises.Grant) -> None:
+        self._grants[member] = answer
         self._known_until = None
+        self._held_until = max(self._held_until, self._granted_until())
+
+    def _count_covered(self) -> None:
+        """Count the grants that are covered by now.
+
+        Each may extend the permission, and so cover another one.
+        """
+        counted = True
+        while counted and self._uncovered:
+            counted = False
+            for member, grant in list(self._uncovered.items()):
+                if self._promises.covers(
+                    grant, self._held_until, PERMISSION_LENGTH
+                ):
+                    del self._uncovered[member]
+                    self._record(member, grant)
+                    counted = True
+
+    def needs_row(self, now: float) -> bool:
+        """Return whether a read of the row would extend the permission."""
+        if not self._uncovered or self._term < self._released_below:
+            return False
+        if self._granted_until() - now > ROW_MARGIN_S:
+            return False
+        merged = self._grants | self._uncovered
+        return self._until(merged) > max(self._granted_until(), now)
 
     def give_up(self, below: int, now: float) -> None:
         """Release the permission for all terms below ``below`` for good."""
@@ -111,10 +177,14 @@
         return self._known_until
 
     def _compute_granted_until(self) -> float:
+        return self._until(self._grants)
+
+    def _until(self, answers: dict[str, _promises.Grant]) -> float:
+        """Return until when these answers would grant the permission."""
         sent = sorted(
             (
                 grant.sent_at
-                for grant in self._grants.values()
+                for grant in answers.values()
                 if grant.promised <= self._term
             ),
             reverse=True,
@@ -132,7 +202,7 @@
         """
         return min(self._granted_until(), self._released_at)
 
-    def grants(self) -> dict[str, Grant]:
+    def grants(self) -> dict[str, _promises.Grant]:
         """Return the newest answer of each member, for sharing with peers."""
         return dict(self._grants)
 
@@ -140,9 +210,10 @@
         """Return when the poll of the member's newest grant was sent.
 
         The result is negative infinity if the member's newest answer did
-        not grant the term.
+        not grant the term. A grant that does not count yet is included: to
+        poll the member again would not make it count.
         """
-        grant = self._grants.get(member)
+        grant = self._uncovered.get(member) or self._grants.get(member)
         if grant is None or grant.promised > self._term:
             return float('-inf')
         return grant.sent_at
@@ -150,3 +221,7 @@
     def held(self, now: float) -> bool:
         """Return whether a write may be acknowledged at ``now``."""
         return now < self.expires_at()
+
+
+def _is_older(answer: _promises.Grant, known: _promises.Grant | None) -> bool:
+    return known is not None and answer.sent_at < known.sent_at
--- a/src/tidegrade/daemon/_evidence_task.py
+++ b/src/tidegrade/daemon/_evidence_task.py
@@ -20,6 +20,10 @@
 #: the other proxy's evidence may be as old as its polling interval.
 REQUEST_INTERVAL_S = 0.3
 
+#: Number of proxies to ask for a group whose permission has lapsed and can't
+#: be renewed by polls alone: the one that polls may be in the same state.
+ASKED_AFTER_LAPSE = 3
+
 Groups = Callable[[], dict[messages.GroupKey, _group_task.GroupTask]]
 
 
@@ -58,16 +62,25 @@
         return messages.EvidenceAnswer(seen)
 
     def _groups_by_proxy(self) -> dict[str, tuple[messages.GroupKey, ...]]:
-        """Return the proxies to ask, each with the groups that it polls."""
+        """Return the proxies to ask, each with the groups to ask it for."""
         found: dict[str, tuple[messages.GroupKey, ...]] = {}
         for key, group in self._groups().items():
             if not group.serving:
                 continue
-            proxy = self._peers.polling_proxy(key)
-            if proxy != self._deps.proxy_id:
+            for proxy in self._proxies_to_ask(key, group):
                 found[proxy] = (*found.get(proxy, ()), key)
         return found
 
+    def _proxies_to_ask(
+        self, key: messages.GroupKey, group: _group_task.GroupTask
+    ) -> tuple[str, ...]:
+        """Return the proxies to ask for a group that this proxy serves."""
+        if group.machine.needs_row(self._deps.clock.now()):
+            peers = self._peers.serving_ids(key)
+            return core.top_ranked(str(key), peers, ASKED_AFTER_LAPSE)
+        proxy = self._peers.polling_proxy(key)
+        return () if proxy == self._deps.proxy_id else (proxy,)
+
     async def _request(
         self, proxy: str, keys: tuple[messages.GroupKey, ...]
     ) -> None:
--- a/src/tidegrade/peers/_message_codec.py
+++ b/src/tidegrade/peers/_message_codec.py
@@ -132,6 +132,7 @@
         if found.position is not None:
             slot.position = found.position
             slot.positionAgeUs = _age_us(found.position_at)
+        slot.heldForUs = _left_us(found.held_until)
         grants = slot.init('grants', len(found.grants))
         for part, grant in zip(grants, found.grants, strict=True):
             part.member = grant.member
@@ -240,6 +241,15 @@
     return max(0, math.ceil(-at * 1e6))
 
 
+def _left_us(until: float) -> int:
+    """Convert a time left in seconds to microseconds, rounded down.
+
+    It is 0 if no time is left. Rounding down never makes a permission look
+    longer than it is.
+    """
+    return 0 if until <= 0 else math.floor(until * 1e6)
+
+
 _ENCODERS: dict[type, typing.Callable[[typing.Any, typing.Any], None]] = {
     messages.Heartbeat: _put_heartbeat,
     messages.GiveUp: _put_give_up,
@@ -375,10 +385,17 @@
         core.MemberGrant(g.member, g.promised, -g.ageUs / 1e6)
         for g in part.grants
     )
+    held_until = float('-inf')
+    if part.heldForUs:
+        held_until = part.heldForUs / 1e6
     if part.position < 0:
-        return core.Evidence(part.term, grants)
+        return core.Evidence(part.term, grants, held_until=held_until)
     return core.Evidence(
-        part.term, grants, part.position, -part.positionAgeUs / 1e6
+        part.term,
+        grants,
+        part.position,
+        -part.positionAgeUs / 1e6,
+        held_until,
     )
 
 
--- a/src/tidegrade/peers/wire.capnp
+++ b/src/tidegrade/peers/wire.capnp
@@ -131,6 +131,8 @@
   grants @3 :List(MemberGrant);
   position @4 :Int64;    # of the primary's log; -1 if it isn't known
   positionAgeUs @5 :UInt64;
+  heldForUs @6 :UInt64;  # how long the sender still holds the permission of
+                         # the term; 0: it doesn't
 }
 
 struct QuotaAsk {
--- a/standins/tidegrade_fakes/_forgetful.py
+++ b/standins/tidegrade_fakes/_forgetful.py
@@ -1,8 +1,8 @@
 """A fake instance whose promises can be lowered, cleared and forgotten.
 
 So are those of the users' platform: suspending a replica with a lower term
-lowers its promise, following again or leading clears it, a restart forgets
-it, and while it holds one the replica receives nothing.
+lowers its promise, following again or the promotion of any instance clears
+it, a restart forgets it, and while it holds one the replica receives nothing.
 """
 
 from collections.abc import Callable
@@ -27,9 +27,12 @@
 
     ``newest_term`` gives the newest term that any instance has led: the
     platform counts on from there, whatever this one has received.
+    ``end_promises`` clears the promises of all replicas, which follow the
+    named instance from then on.
     """
 
     newest_term: Callable[[], int] = lambda: 0
+    end_promises: Callable[[str], None] = lambda _: None
 
     def report(self) -> core.EndpointReport:
         """Give what the instance says of itself."""
@@ -104,6 +107,7 @@
         self.in_recovery = False
         self.upstream = ''
         self.promised = 0
+        self.end_promises(self.name)
         self._append(_endpoint.Entry(mark=term + 1, committed_at=now), now)
         return attrs.evolve(self._done(), fork_lsn=core.NO_LOSS)
 
--- a/standins/tidegrade_fakes/_run.py
+++ b/standins/tidegrade_fakes/_run.py
@@ -138,8 +138,15 @@
             return _endpoint.FakeEndpoint(name, upstream, cap)
         made = _forgetful.ForgetfulEndpoint(name, upstream, cap)
         made.newest_term = self._newest_term
+        made.end_promises = self._end_promises
         return made
 
+    def _end_promises(self, primary: str) -> None:
+        for endpoint in self.world.endpoints.values():
+            if endpoint.in_recovery:
+                endpoint.promised = 0
+                endpoint.upstream = primary
+
     def _newest_term(self) -> int:
         terms = [e.report().marker for e in self.world.endpoints.values()]
         return max(terms)
--- a/tests/adapters/test_peer_messages.py
+++ b/tests/adapters/test_peer_messages.py
@@ -18,6 +18,7 @@
     st.lists(grants, max_size=4).map(tuple),
     st.integers(0, 2**60),
     ages,
+    st.floats(0, 10),
 )
 
 
@@ -32,6 +33,7 @@
     found = group.evidence
     assert found.position == seen.position
     assert found.position_at <= seen.position_at + 1e-9
+    assert found.held_until <= seen.held_until + 1e-9
     for one, other in zip(found.grants, seen.grants, strict=True):
         assert (one.member, one.promised) == (other.member, other.promised)
         assert other.at - 2e-6 <= one.at <= other.at + 1e-9
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -90,6 +90,8 @@
         self.ended: list[core.ControlEnded] = []
         #: Endpoints whose circuit breakers have opened or closed.
         self.health_changes: list[core.WorkHealthChanged] = []
+        #: Whether the platform answers reads of the row.
+        self.platform_answers = True
         self.tell(core.Registered(True))
         self.tell(core.RowReceived(ROW))
         for _ in range(3):
@@ -136,6 +138,9 @@
             found = self.reports[name]
             done = core.JobDone(found, after_lsn=found.lsn)
             return [core.JobEnded(command.conn, done)]
+        if isinstance(command, core.FetchRow) and self.platform_answers:
+            row = self.core.row
+            return [core.RowReceived(row, self.now)] if row else []
         if isinstance(command, core.ControlEnded):
             self.ended.append(command)
         if isinstance(command, core.WorkHealthChanged):
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -123,6 +123,7 @@
 
 def test_a_suspended_process_asks_for_the_row_first(checking):
     assert checking.core.may_acknowledge(checking.now)
+    checking.platform_answers = False
     checking.tell(core.ProcessPaused(2.0))
     checking.tell(core.RowReceived(machines.ROW, checking.now - 1.0))
     assert not checking.core.may_acknowledge(checking.now)
--- a/tests/proofs/test_late_follow.py
+++ b/tests/proofs/test_late_follow.py
@@ -76,6 +76,7 @@
     ) -> SlowFollower:
         made = SlowFollower(name, upstream, cap)
         made.newest_term = self._newest_term
+        made.end_promises = self._end_promises
         return made
 
     def _cut_primary(self) -> None:
