Name the primary's position in reads that rely on the permission

What callers saw: nothing that was shown. A read or a transaction at the primary named no position. If the primary has lost a part of its log, or has not applied what it received, it serves an old copy although the permission is right.

Cause: only reads on replicas were checked by the endpoint; for the primary the permission alone was taken as proof that it has every commit of its term.

Evidence: the new tests fail before: the read and the BEGIN name no position. Ruled out: naming the session's position only, which says nothing of other callers' commits.

Change: a read or a BEGIN that names no other position names the newest one that the primary has been seen to reach in this term. An instance that lacks it refuses, nothing runs, and the caller is told so. Where endpoints don't check positions nothing changes. One test expected the unnamed form of a read that must go to the primary; it now expects the primary and its last position.

Before: both new tests fail.

--- a/src/tidegrade/core/_jobs.py
+++ b/src/tidegrade/core/_jobs.py
@@ -52,9 +52,9 @@
     """Begin a transaction, run statements in it and leave it open.
 
     With ``key``, the transaction first records the idempotency key, so that
-    a second run with the same key can't apply the statements again. A
-    ``read_only`` transaction may run on a replica that has reached
-    ``after``.
+    a second run with the same key can't apply the statements again. The
+    endpoint must have reached ``after``; a ``read_only`` transaction may run
+    on a replica.
     """
 
     statements: tuple[_types.Statement, ...] = ()
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -301,6 +301,10 @@
         pending.after = need.lsn if after is None else after.lsn
         pending.after_term = None if after is None else after.term
         pending.after_at = need.reached_at
+        if after is None:
+            # The permission alone decides; the position guards against a
+            # primary that has lost a part of its log or not applied it yet.
+            after = self._state.primary_position()
         setup = _setup.setup_for(conn, req, req.statements)
         if req.kind is _types.Kind.BEGIN:
             return _jobs.StartJob(
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -255,6 +255,18 @@
         position = _types.Position(row.term, last.lsn)
         self.former = _view.FormerPosition(position, row.marker, last.at)
 
+    def primary_position(self) -> _types.Position | None:
+        """Return a position that the primary has reached in this term.
+
+        It is None if none is known, or if endpoints don't check positions.
+        """
+        newest = self.samples.newest
+        if self.row is None or newest is None:
+            return None
+        if not self.settings.traits.checks_position:
+            return None
+        return _types.Position(self.row.marker, newest.lsn)
+
     def has_current_term(self, name: str) -> bool:
         """Return whether an endpoint's last report is of the current term."""
         report = self.views[name].report
--- a/src/tidegrade/core/_txns.py
+++ b/src/tidegrade/core/_txns.py
@@ -86,7 +86,8 @@
             return _reads.Placement.BLOCKED
         req = pending.req
         setup = _setup.setup_for(conn, req, req.statements)
-        job = _jobs.StartJob(req.statements, setup=setup)
+        after = self._state.primary_position()
+        job = _jobs.StartJob(req.statements, after=after, setup=setup)
         self._state.start_job(conn, job, pending, req.deadline, now)
         return _reads.Placement.TAKEN
 
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -344,7 +344,7 @@
     checking.jobs.clear()
     checking.read(1, max_age=0.5)
     assert [(name, job.after) for name, job in reads(checking)] == [
-        ('a', None)
+        ('a', core.Position(1, 100))
     ]
     checking.reports['a'] = machines.report(200, in_recovery=False)
     for _ in range(60):
@@ -374,3 +374,20 @@
     trace = checking.answers[1].trace
     assert trace.after_term is None
     assert trace.after_age is None
+
+
+def test_a_primary_with_a_shorter_log_serves_no_old_copy(checking):
+    """Guards against a primary that came back without its newest commits."""
+    checking.failures = {'a': BEHIND}
+    checking.read(1, max_age=0.0)
+    (name, job) = reads(checking)[-1]
+    assert (name, job.after) == ('a', core.Position(1, 100))
+    for _ in range(60):
+        checking.tick()
+    assert checking.answers[1].outcome is core.Outcome.NOT_RUN
+
+
+def test_a_transaction_names_the_position_of_the_primary(checking):
+    checking.read(1, kind=core.Kind.BEGIN)
+    jobs = [job for _, job in checking.jobs if isinstance(job, core.StartJob)]
+    assert jobs[-1].after == core.Position(1, 100)
