Show stale reads behind answers that name no position

What callers saw: reads on session and bounded routes that lacked an acknowledged commit, without any fault of a link or a change of primary.

Ruled out as a need: cuts, promotions, restarts; none of them happens here. Not shown: that the instances of the users' machines name no position.

--- a/standins/tidegrade_edge/_instance.py
+++ b/standins/tidegrade_edge/_instance.py
@@ -109,7 +109,8 @@
     from its primary. ``lose_answers`` counts statements that run and end
     the connection instead of answering. ``busy`` refuses every statement.
     ``work`` is how long a caller's statement takes, in seconds. ``forget``
-    makes connections forget their prepared names before each EXEC.
+    makes connections forget their prepared names before each EXEC. With
+    ``unnamed`` the answers to callers' statements name no position.
     """
 
     dark: bool = False
@@ -120,6 +121,7 @@
     apply_lag: float = 0.0
     setup: SetupFault | None = None
     forget: bool = False
+    unnamed: bool = False
 
 
 @attrs.define
@@ -329,7 +331,8 @@
             if self.faults.lose_answers > 0 and request_id != '-':
                 self.faults.lose_answers -= 1
                 return
-            await lines.send(*said, self._ready(session))
+            unnamed = self.faults.unnamed and request_id != '-'
+            await lines.send(*said, self._ready(session, unnamed))
 
     async def _strike(
         self,
@@ -359,10 +362,12 @@
         while self.faults.dark:
             await anyio.sleep(0.01)
 
-    def _ready(self, session: _Session) -> str:
+    def _ready(self, session: _Session, unnamed: bool = False) -> str:
         state = 'I'
         if session.open:
             state = 'E' if session.failed else 'T'
+        if unnamed:
+            return f'READY {state} -'
         term, number = self.applied
         return f'READY {state} {term}.{number}'
 
