--- a/src/tidegrade/core/_txns.py
+++ b/src/tidegrade/core/_txns.py
@@ -301,6 +301,11 @@
             step.pending.results = outcome.results
             if step.txn.read_only:
                 self._answer_read_only(step)
+            elif outcome.report.repeats_position:
+                # A commit of unknown position is not acknowledged.
+                self._registry.answer_unknown(
+                    step.pending, _types.Code.UNCONFIRMED
+                )
             else:
                 self._writes.await_confirmation(
                     step.pending, outcome.after_lsn, now
--- a/src/tidegrade/core/_writes.py
+++ b/src/tidegrade/core/_writes.py
@@ -146,8 +146,7 @@
             return self.handle_unknown_outcome(
                 pending, _types.Code.UNCONFIRMED, now
             )
-        self.await_confirmation(pending, outcome.after_lsn, now)
-        return False
+        return self.commit_done(pending, outcome, now)
 
     def _write_failed(
         self,
@@ -186,8 +185,7 @@
         pending.sent_to = ''
         if isinstance(outcome, _jobs.JobDone):
             self._registry.service.served(now - sent_at)
-            self.await_confirmation(pending, outcome.after_lsn, now)
-            return False
+            return self.commit_done(pending, outcome, now)
         if outcome.failure in ROLLED_BACK_FAILURES:
             # The endpoint refused the commit and rolled back.
             pending.commit_sent = False
@@ -197,6 +195,21 @@
             return False
         return self.handle_unknown_outcome(pending, _types.Code.CONN_LOST, now)
 
+    def commit_done(
+        self, pending: _pending.Pending, done: _jobs.JobDone, now: float
+    ) -> bool:
+        """Handle a commit that the endpoint has carried out.
+
+        Without its position, later reads of the session could not be told
+        from those that lack it, so it is not acknowledged.
+        """
+        if done.report.repeats_position:
+            return self.handle_unknown_outcome(
+                pending, _types.Code.UNCONFIRMED, now
+            )
+        self.await_confirmation(pending, done.after_lsn, now)
+        return False
+
     def await_confirmation(
         self, pending: _pending.Pending, lsn: int, now: float
     ) -> None:
--- a/tests/core/test_checked_reads.py
+++ b/tests/core/test_checked_reads.py
@@ -391,3 +391,12 @@
     checking.read(1, kind=core.Kind.BEGIN)
     jobs = [job for _, job in checking.jobs if isinstance(job, core.StartJob)]
     assert jobs[-1].after == core.Position(1, 100)
+
+
+def test_a_write_of_unknown_position_is_not_acknowledged(checking):
+    """Later reads of the session could not be told from older copies."""
+    checking.reports['a'] = machines.report(
+        100, in_recovery=False, repeats_position=True
+    )
+    checking.write(1, None)
+    assert checking.answers[1].outcome is core.Outcome.UNKNOWN
