Log what answers to requests were based on

Operators saw reads that lacked an acknowledged commit. The lines of both requests named an endpoint and a position, but not whether the endpoint was the primary, where the position came from, which position the endpoint stated, in which term the commit was acknowledged and by whose grants.

Cause: the trace of an answer held only what the routing had decided.

Change: events 1602 to 1604 show `to_primary`, `basis`, `reported` with `reported_term`, `commit` with `commit_term`, and `grants` by member with age and source. A sample of the primary's position keeps whether this proxy or a peer polled it. An answer that becomes unknown at the last check keeps its trace, which its 1602 lacked altogether. The fields of a line are made only if the rate limit lets it pass. No decision reads any of this.

A forwarded answer carries the fields to the proxy that logs it.

Ruled out: a second line by the home that serves a request; it would double the lines under the same bound.

--- a/src/tidegrade/core/_exchange.py
+++ b/src/tidegrade/core/_exchange.py
@@ -80,4 +80,6 @@
     for grant in evidence.grants:
         state.permission.answered(grant.member, grant.promised, grant.at)
     if evidence.position is not None:
-        state.record_position(evidence.position_at, evidence.position)
+        state.record_position(
+            evidence.position_at, evidence.position, own=False
+        )
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -345,8 +345,10 @@
             ended = _events.ControlEnded(owner.control, conn.endpoint, outcome)
             self._state.emit(ended)
         elif isinstance(owner, _txns.TxnStep):
+            owner.pending.report = outcome.report
             self._txns.step_ended(owner, conn, job, outcome, now)
         elif isinstance(owner, _pending.Pending):
+            owner.report = outcome.report
             retry = self._finish_request_job(
                 owner, conn, job, outcome, sent_at, now
             )
--- a/src/tidegrade/core/_needs.py
+++ b/src/tidegrade/core/_needs.py
@@ -12,6 +12,7 @@
 from tidegrade.core import _state
 from tidegrade.core import _types
 from tidegrade.core import _view
+from tidegrade.core.tracing import _basis
 
 #: A position less than every other, which every replica has applied.
 ANY_LSN = -1
@@ -57,15 +58,22 @@
             return attrs.evolve(
                 self._make_need(pending, ANY_LSN, former.at, None),
                 after=self._position_in_former_term(former, pending.req.floor),
+                basis=_basis.ReadBasis.FORMER_TERM,
             )
         dated = self._dated_sample(oldest)
         if dated is None:
             reached_at = self._reached_at(pending, lsn)
             return self._make_need(pending, lsn, reached_at, 0.0)
         reached_at = dated.at
+        basis = _basis.ReadBasis.PEER_SAMPLE
+        if dated.own:
+            basis = _basis.ReadBasis.OWN_SAMPLE
         if lsn > dated.lsn:
             reached_at = min(reached_at, self._reached_at(pending, lsn))
-        return self._make_need(pending, max(lsn, dated.lsn), reached_at, None)
+            basis = _basis.ReadBasis.SESSION
+        return self._make_need(
+            pending, max(lsn, dated.lsn), reached_at, None, basis
+        )
 
     def _recent_former(
         self, pending: _pending.Pending, oldest: float
@@ -102,10 +110,12 @@
         lsn: int,
         reached_at: float | None,
         max_age: float | None,
+        basis: _basis.ReadBasis = _basis.ReadBasis.SESSION,
     ) -> _routing.ReadNeed:
         """Return a need with the state of the request.
 
-        Where endpoints check positions, they are asked for ``lsn``.
+        Where endpoints check positions, they are asked for ``lsn``. Without
+        an ``lsn`` the need has no basis.
         """
         after = None
         row = self._state.row
@@ -120,6 +130,7 @@
             misses=pending.misses,
             max_wait=pending.req.replica_wait,
             after=after,
+            basis=basis if lsn else _basis.ReadBasis.NONE,
         )
 
     def _dated_sample(self, at: float) -> _view.Sample | None:
--- a/src/tidegrade/core/_pending.py
+++ b/src/tidegrade/core/_pending.py
@@ -3,6 +3,7 @@
 import attrs
 
 from tidegrade.core import _types
+from tidegrade.core.tracing import _basis
 
 
 @attrs.define(eq=False)
@@ -18,6 +19,9 @@
     by which the primary was known to have reached it.
     ``needs_permission`` is true if the last attempt to place the request
     failed because the proxy did not hold the permission to acknowledge.
+    The fields after it are for the log only: whether the last endpoint was
+    the primary as the request was sent, the origin of ``after``, the
+    endpoint's report and the grants that a read rested on.
     """
 
     req: _types.Request
@@ -38,6 +42,10 @@
     replayed: bool = False
     abandoned: bool = False
     needs_permission: bool = False
+    to_primary: bool | None = None
+    basis: _basis.ReadBasis = _basis.ReadBasis.NONE
+    report: _types.EndpointReport | None = None
+    grants: tuple[_basis.GrantRecord, ...] = ()
 
     @property
     def safe_to_retry(self) -> bool:
--- a/src/tidegrade/core/_reads.py
+++ b/src/tidegrade/core/_reads.py
@@ -16,6 +16,8 @@
 from tidegrade.core import _setup
 from tidegrade.core import _state
 from tidegrade.core import _types
+from tidegrade.core.tracing import _basis
+from tidegrade.core.tracing import _permission_state
 
 #: Pause before a request checks again for the group row it needs, in seconds.
 ROW_RETRY_PAUSE_S = 0.03
@@ -285,6 +287,7 @@
         pending.sent_to = pending.last_sent_to = name
         pending.tries += 1
         job = self._job(pending, conn, need)
+        self._note_basis(pending, name, need, now)
         limit = min(pending.req.deadline, now + pending.req.attempt_limit)
         self._state.start_job(conn, job, pending, limit, now)
         return Placement.TAKEN
@@ -312,6 +315,25 @@
             )
         return _jobs.ReadJob(req.statements, after, setup)
 
+    def _note_basis(
+        self,
+        pending: _pending.Pending,
+        name: str,
+        need: _routing.ReadNeed,
+        now: float,
+    ) -> None:
+        """Keep what the read is based on, for the log."""
+        row = self._state.row
+        pending.report = None
+        pending.grants = ()
+        pending.to_primary = row is not None and name == row.primary
+        pending.basis = need.basis
+        if pending.to_primary and need.max_age is not None:
+            pending.basis = _basis.ReadBasis.PERMISSION
+            pending.grants = _permission_state.granting(
+                self._state.permission, now
+            )
+
     # Answers --------------------------------------------------------------
 
     def _read_failed(
--- a/src/tidegrade/core/_registry.py
+++ b/src/tidegrade/core/_registry.py
@@ -7,6 +7,7 @@
 from tidegrade.core import _shares
 from tidegrade.core import _state
 from tidegrade.core import _types
+from tidegrade.core.tracing import _permission_state
 from tidegrade.core.waiting import _queue
 
 #: Retry hint for callers while a group has no primary, in seconds.
@@ -101,6 +102,12 @@
         left = None
         if until != float('-inf'):
             left = until - self._state.now
+        grants = pending.grants
+        if pending.commit_sent:
+            grants = _permission_state.granting(
+                self._state.permission, self._state.now
+            )
+        report = pending.report
         return _types.Trace(
             term=row.term if row is not None else 0,
             tries=pending.tries,
@@ -110,6 +117,12 @@
             permission_left=left,
             after_term=pending.after_term,
             after_age=self._after_age(pending),
+            to_primary=pending.to_primary,
+            basis=pending.basis,
+            reported=_reported(report),
+            repeated=report is not None and report.repeats_position,
+            commit=_commit(pending),
+            grants=grants,
         )
 
     @staticmethod
@@ -181,3 +194,19 @@
         """Return the number of connections that may serve this group."""
         names = self._state.cfg.endpoints
         return sum(self._state.pool.share(name).limit for name in names)
+
+
+def _reported(
+    report: _types.EndpointReport | None,
+) -> _types.Position | None:
+    """Return the position in a report, in the term of the endpoint."""
+    if report is None:
+        return None
+    return report.stated_applied or _types.Position(report.marker, report.lsn)
+
+
+def _commit(pending: _pending.Pending) -> _types.Position | None:
+    """Return the position of a commit, None if it is not known."""
+    if not pending.confirm_term:
+        return None
+    return _types.Position(pending.confirm_term, pending.confirm_lsn)
--- a/src/tidegrade/core/_routing.py
+++ b/src/tidegrade/core/_routing.py
@@ -7,6 +7,7 @@
 
 from tidegrade import config
 from tidegrade.core import _types
+from tidegrade.core.tracing import _basis
 
 #: Longest time that a read waits for a replica to catch up, in seconds.
 MAX_REPLICA_WAIT_S = 0.3
@@ -32,6 +33,7 @@
     ``max_wait``, if set, bounds the wait for a replica in seconds. Where
     endpoints check positions themselves, the read names ``after``.
     ``misses`` counts the answers that didn't satisfy the read so far.
+    ``basis`` is the origin of the position, for the log.
     """
 
     lsn: int
@@ -42,6 +44,7 @@
     misses: int = 0
     max_wait: float | None = None
     after: _types.Position | None = None
+    basis: _basis.ReadBasis = _basis.ReadBasis.NONE
 
 
 @attrs.frozen
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -232,18 +232,18 @@
         if row == self.row and row.attempt is None:
             self.permission.row_read(asked_at)
 
-    def record_position(self, at: float, lsn: int) -> None:
+    def record_position(self, at: float, lsn: int, own: bool = True) -> None:
         """Record the primary's position for a poll that was sent at ``at``.
 
         If positions restart with each term, position 0 of a later term does
         not show what a replica holds: a replica is at 0 before it has
         received the data of the former terms. Only a commit of the term
-        implies that data.
+        implies that data. ``own`` tells whether this proxy sent the poll.
         """
         restarts = self.settings.traits.positions_restart
         first_term = self.row is not None and self.row.marker <= 1
         if lsn or first_term or not restarts:
-            self.samples.add(at, lsn)
+            self.samples.add(at, lsn, own)
 
     def record_former_position(self, row: _row.GroupRow) -> None:
         """Keep the newest position with a known time of a term that ends."""
--- a/src/tidegrade/core/_txns.py
+++ b/src/tidegrade/core/_txns.py
@@ -245,6 +245,8 @@
         txn.pending = pending
         pending.sent_to = pending.last_sent_to = conn.endpoint
         pending.tries += 1
+        row = self._state.row
+        pending.to_primary = row is not None and conn.endpoint == row.primary
         step = TxnStep(txn, pending)
         self._state.start_job(conn, job, step, pending.req.deadline, now)
 
--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from tidegrade.core.tracing import _basis
+
 
 @attrs.frozen(order=True)
 class Position:
@@ -189,6 +191,15 @@
     seconds. ``permission_left`` is the remaining validity of the permission
     to acknowledge, in seconds. ``via`` is the proxy that served the request
     on behalf of this one.
+
+    ``to_primary`` tells whether ``sent_to`` was the primary of the term as
+    the request was sent, and ``basis`` is the origin of ``after``.
+    ``reported`` is the position that the endpoint stated with its answer,
+    in the term as it counts it; ``repeated`` if the answer itself stated
+    none and that of an earlier one stands for it. ``commit`` is the
+    position of a commit in the term as the proxies count it. ``grants``
+    are those that the permission rested on: of a write as it was answered,
+    of a read that required the permission as it was sent.
     """
 
     term: int
@@ -200,6 +211,12 @@
     via: str = ''
     after_term: int | None = None
     after_age: float | None = None
+    to_primary: bool | None = None
+    basis: _basis.ReadBasis = _basis.ReadBasis.NONE
+    reported: Position | None = None
+    repeated: bool = False
+    commit: Position | None = None
+    grants: tuple[_basis.GrantRecord, ...] = ()
 
 
 @attrs.frozen
@@ -241,6 +258,10 @@
     (None). With ``repeats_position`` the answer named no position, and the
     one given here is that of an earlier answer: the endpoint has reached it,
     but nothing shows that it had not reached a later one by then.
+
+    ``stated_applied`` and ``stated_received`` are for the log only: the
+    positions as the endpoint stated them, each in its own term. They are
+    None where positions go on from term to term.
     """
 
     in_recovery: bool | None
@@ -249,6 +270,8 @@
     marker: int
     promised: int | None
     repeats_position: bool = False
+    stated_applied: Position | None = None
+    stated_received: Position | None = None
 
 
 class InvariantBroken(AssertionError):
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -126,10 +126,14 @@
 
 @attrs.frozen
 class Sample:
-    """The primary had reached at least ``lsn`` for a poll sent at ``at``."""
+    """The primary had reached at least ``lsn`` for a poll sent at ``at``.
+
+    ``own`` tells whether this proxy sent the poll, for the log.
+    """
 
     at: float
     lsn: int
+    own: bool = True
 
 
 @attrs.frozen
@@ -163,13 +167,13 @@
             maxlen=MAX_SAMPLES
         )
 
-    def add(self, at: float, lsn: int) -> None:
+    def add(self, at: float, lsn: int, own: bool = True) -> None:
         """Add the primary's position from a poll that was sent at ``at``."""
         if self._samples and at <= self._samples[-1].at:
             return
         if len(self._samples) >= 2 and self._samples[-2].lsn == lsn:
             self._samples.pop()
-        self._samples.append(Sample(at, lsn))
+        self._samples.append(Sample(at, lsn, own))
 
     def clear(self) -> None:
         """Remove all samples, for example when the term changes."""
--- a/src/tidegrade/core/_writes.py
+++ b/src/tidegrade/core/_writes.py
@@ -93,6 +93,7 @@
             return None
         pending.sent_to = pending.last_sent_to = state.row.primary
         pending.tries += 1
+        pending.to_primary, pending.report = True, None
         return conn
 
     def start_ended(
--- a/src/tidegrade/core/permission/_permission.py
+++ b/src/tidegrade/core/permission/_permission.py
@@ -206,6 +206,15 @@
         """Return the newest answer of each member, for sharing with peers."""
         return dict(self._grants)
 
+    def uncounted(self) -> dict[str, _promises.Grant]:
+        """Return the newest answers that don't count yet, by member."""
+        return dict(self._uncovered)
+
+    @property
+    def given_up(self) -> bool:
+        """Whether the permission of this term was given up."""
+        return self._term < self._released_below
+
     def granted_at(self, member: str) -> float:
         """Return when the poll of the member's newest grant was sent.
 
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -183,6 +183,7 @@
             core.Outcome.UNKNOWN,
             code=core.Code.UNCONFIRMED,
             detail='write permission ended before the write was acknowledged',
+            trace=answer.trace,
         )
 
     def set_config(
--- /dev/null
+++ b/src/tidegrade/daemon/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines that tell what the decisions of a proxy were based on."""
--- a/src/tidegrade/logs/__init__.py
+++ b/src/tidegrade/logs/__init__.py
@@ -5,6 +5,7 @@
 from tidegrade.logs._events import LogEvent
 from tidegrade.logs._events import write
 from tidegrade.logs._events import write_bounded
+from tidegrade.logs._events import write_bounded_lazily
 
 __all__ = [
     'LogEvent',
@@ -12,4 +13,5 @@
     'configure_unblocked',
     'write',
     'write_bounded',
+    'write_bounded_lazily',
 ]
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -1,5 +1,7 @@
 """Structured logs: JSON lines with numbered events."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import enum
 import logging
 import sys
@@ -259,12 +261,19 @@
 
     The number of dropped lines is logged with the next line that passes.
     """
+    write_bounded_lazily(event, lambda: fields)
+
+
+def write_bounded_lazily(
+    event: LogEvent, make_fields: Callable[[], Mapping[str, object]]
+) -> None:
+    """Log an event as `write_bounded` does; make fields only if it is."""
     if not _rate_limit.take():
         return
     dropped = _rate_limit.take_dropped()
     if dropped:
         write(LogEvent.LINES_DROPPED, count=dropped)
-    write(event, **fields)
+    write(event, **make_fields())
 
 
 def write(event: LogEvent, **fields: object) -> None:
--- a/src/tidegrade/session_proxy/_command_records.py
+++ b/src/tidegrade/session_proxy/_command_records.py
@@ -2,6 +2,7 @@
 
 from tidegrade.adapters import _metrics
 from tidegrade import core
+from tidegrade.daemon.decisions import _fields
 from tidegrade import logs
 from tidegrade import sessions
 
@@ -75,6 +76,15 @@
     def _log(
         self, record: sessions.CommandRecord, answer: core.Answer
     ) -> None:
+        logs.write_bounded_lazily(
+            _EVENTS[answer.outcome],
+            lambda: self._fields_of(record, answer),
+        )
+
+    @staticmethod
+    def _fields_of(
+        record: sessions.CommandRecord, answer: core.Answer
+    ) -> dict[str, object]:
         trace = answer.trace
         fields: dict[str, object] = {
             'request': record.command.id,
@@ -103,7 +113,8 @@
                 fields['after_age_ms'] = round(trace.after_age * 1000, 1)
             if trace.via:
                 fields['via'] = trace.via
+            fields.update(_fields.trace_fields(trace))
         if trace is not None and trace.permission_left is not None:
             left = round(trace.permission_left * 1000, 1)
             fields['permission_left_ms'] = left
-        logs.write_bounded(_EVENTS[answer.outcome], **fields)
+        return fields
--- a/tests/peers/test_message_codec.py
+++ b/tests/peers/test_message_codec.py
@@ -10,6 +10,7 @@
 
 from tidegrade.codec import _structure
 from tidegrade import core
+from tidegrade.core.tracing import _basis
 from tidegrade.peers import _message_codec as codec
 from tidegrade.peers import _messages as messages
 from tidegrade.peers import _wire
@@ -93,7 +94,18 @@
     from_replica=True,
     age=0.0,
     acknowledge_until=1,
-    trace=core.Trace(3, 1, 0, after=4, permission_left=0.5),
+    trace=core.Trace(
+        3,
+        1,
+        0,
+        after=4,
+        permission_left=0.5,
+        to_primary=False,
+        basis=_basis.ReadBasis.PEER_SAMPLE,
+        reported=core.Position(2, 7),
+        commit=core.Position(3, 9),
+        grants=(_basis.GrantRecord('b', 0.1, True, 3),),
+    ),
 )
 #: Values that orjson alone would refuse or change.
 ODD_VALUES = ('\udce9t\udce9', 2**64, -(2**70), float('inf'), 1e300)
--- a/tests/session_proxy/test_command_records.py
+++ b/tests/session_proxy/test_command_records.py
@@ -1,9 +1,15 @@
-"""Metrics of session commands: tenant labels and their bound."""
+"""Metrics and log lines of session commands."""
 
+import io
+import json
+
+import attrs
 import pytest
 
 from tidegrade.adapters import _metrics
 from tidegrade import core
+from tidegrade.core.tracing import _basis
+from tidegrade import logs
 from tidegrade.session_proxy import _command_records
 from tidegrade import sessions
 
@@ -81,3 +87,32 @@
         ]
         assert observed == [2 * count, 2 * count]
     assert page(metrics).splitlines() == lines
+
+
+def test_a_line_tells_what_the_answer_was_based_on(metrics):
+    """Guards against a stale read or a lost commit that no line explains."""
+    stream = io.StringIO()
+    logs.configure('p', stream)
+    record = record_of('acme')
+    trace = core.Trace(
+        3,
+        1,
+        0,
+        'a',
+        to_primary=True,
+        basis=_basis.ReadBasis.PERMISSION,
+        reported=core.Position(2, 7),
+        commit=core.Position(3, 9),
+        grants=(_basis.GrantRecord('b', 0.1, True, 3),),
+    )
+    answer = attrs.evolve(record.reply.answer, trace=trace)
+    reply = attrs.evolve(record.reply, answer=answer)
+    recorder = _command_records.CommandRecorder(metrics)
+    recorder.record_command(attrs.evolve(record, reply=reply))
+    line = json.loads(stream.getvalue().splitlines()[-1])
+    assert (line['to_primary'], line['basis']) == (True, 'permission')
+    assert (line['reported_term'], line['reported']) == (2, 7)
+    assert (line['commit_term'], line['commit']) == (3, 9)
+    assert line['grants'] == [
+        {'member': 'b', 'age_ms': 100, 'own': True, 'promised': 3}
+    ]
