Log the positions at which a change of primary begins and ends

Operators could not tell which position a promoted endpoint had. Right after a change of term `received` of 1306 is 0 at every endpoint, since only a position of the present term counts, and 1303 named the primary alone.

Change: 1306 shows the received and the applied position as the endpoint states them, each with its own term, and whether the endpoint follows. 1303 shows where the new primary's log stood as its promotion was seen to have taken effect, how long after the order that was, and how much later the term was published. 1301 shows the position where the row holds it.

Ruled out: a later `received` that counts positions of former terms; the choice of a primary compares it within one term.

Before: `"received": 0`. After: the same, with `stated_received` and `stated_received_term`. The choice itself is unchanged.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -88,6 +88,10 @@
     released: set[str] = attrs.field(factory=set)
     last_request_at: float = float('-inf')
     retry_publish: bool = False
+    #: For the log: the new primary's position and the duration of its
+    #: promotion, in seconds.
+    starts_at: _types.Position | None = None
+    promotion_took: float = 0.0
     #: Generation of the platform's table when the row was read.
     generation: int = 0
 
@@ -532,6 +536,8 @@
             forks=(*row.forks, fork),
             log_term=0 if marker == attempt.next_term else marker,
         )
+        self._progress.starts_at = _position_at_start(row.term, done)
+        self._progress.promotion_took = now - self._step_since
         self._enter(Step.PUBLISH, now)
         self._write_published()
 
@@ -549,6 +555,11 @@
             sv.WriteLog(
                 'term_begun',
                 f'term {row.term} with primary {row.primary}',
+                sv.TermStart(
+                    self._progress.starts_at,
+                    self._progress.promotion_took,
+                    now - self._step_since,
+                ),
             )
         )
 
@@ -597,3 +608,14 @@
             config_version=self._progress.config_version,
         )
         self._commands.append(sv.WriteRow(self._progress.row, None))
+
+
+def _position_at_start(
+    former_term: int, done: _jobs.JobDone
+) -> _types.Position | None:
+    """Return where the log of a promoted endpoint stands, if known."""
+    if done.report.stated_received is not None:
+        return done.report.stated_received
+    if done.fork_lsn == _jobs.NO_LOSS:
+        return None
+    return _types.Position(former_term, done.fork_lsn)
--- a/src/tidegrade/core/_supervision.py
+++ b/src/tidegrade/core/_supervision.py
@@ -6,6 +6,7 @@
 from tidegrade.core import _detector
 from tidegrade.core import _jobs
 from tidegrade.core import _row
+from tidegrade.core import _types
 
 # Events -------------------------------------------------------------------
 
@@ -159,12 +160,31 @@
     row: _row.GroupRow
 
 
+@attrs.frozen
+class TermStart:
+    """How a term began; durations in seconds.
+
+    ``position`` is where the new primary's log stood as the promotion was
+    seen to have taken effect, in the term in which it is counted; None if it
+    is not known. The promotion took ``promotion`` from the order to its
+    effect, and the term was published ``publication`` later.
+    """
+
+    position: _types.Position | None
+    promotion: float
+    publication: float
+
+
 @attrs.frozen
 class WriteLog:
-    """Write a log event; ``detail`` is a sentence for operators."""
+    """Write a log event; ``detail`` is a sentence for operators.
+
+    ``start`` is set where a term has begun.
+    """
 
     event: str
     detail: str
+    start: TermStart | None = None
 
 
 SupervisorCommand = (
--- a/src/tidegrade/core/supervision.py
+++ b/src/tidegrade/core/supervision.py
@@ -16,6 +16,7 @@
 from tidegrade.core._supervision import RunControl
 from tidegrade.core._supervision import SupervisorCommand
 from tidegrade.core._supervision import SupervisorEvent
+from tidegrade.core._supervision import TermStart
 from tidegrade.core._supervision import WriteLog
 from tidegrade.core._supervision import WriteRow
 
@@ -36,6 +37,7 @@
     'RunControl',
     'SupervisorCommand',
     'SupervisorEvent',
+    'TermStart',
     'WriteLog',
     'WriteRow',
 ]
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -21,6 +21,7 @@
 from tidegrade.daemon import _deps
 from tidegrade.daemon import _peers_task
 from tidegrade.daemon import _row_task
+from tidegrade.daemon.decisions import _fields
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
 
@@ -282,12 +283,18 @@
         row = self.machine.row
         if row is not None and row.term > self._logged_term:
             self._logged_term = row.term
+            fields: dict[str, object] = {}
+            fork = row.forks[-1] if row.forks else None
+            if fork is not None and fork.end_lsn != core.NO_LOSS:
+                fields['begins_term'] = fork.term
+                fields['begins'] = fork.end_lsn
             logs.write(
                 logs.LogEvent.TERM_SEEN,
                 group=str(self.key),
                 term=row.term,
                 primary=row.primary,
                 members=sorted(row.members),
+                **fields,
             )
 
     def _observe(self) -> None:
@@ -486,9 +493,7 @@
             fields['failure'] = outcome.failure.value
             fields['detail'] = outcome.detail
         if report is not None:
-            fields['data_term'] = report.marker
-            fields['promised'] = report.promised
-            fields['received'] = report.received_lsn
+            fields.update(_fields.report_fields(report))
         logs.write_bounded(logs.LogEvent.ORDER_ENDED, **fields)
 
     # Commands of the supervisor -------------------------------------------
@@ -529,8 +534,19 @@
         )
 
     def _note(self, order: supervision.WriteLog) -> None:
+        fields: dict[str, object] = {}
+        start = order.start
+        if start is not None:
+            fields['promotion_ms'] = round(start.promotion * 1000)
+            fields['publication_ms'] = round(start.publication * 1000)
+            if start.position is not None:
+                fields['begins_term'] = start.position.term
+                fields['begins'] = start.position.lsn
         logs.write(
-            _NOTE_EVENTS[order.event], group=str(self.key), detail=order.detail
+            _NOTE_EVENTS[order.event],
+            group=str(self.key),
+            detail=order.detail,
+            **fields,
         )
 
 
--- a/tests/core/test_failover.py
+++ b/tests/core/test_failover.py
@@ -182,6 +182,12 @@
     row = harness.written('4')
     assert (row.term, row.primary) == (2, 'c')
     assert row.forks == (core.Fork(1, 140),)
+    (note,) = [
+        found
+        for found in harness.take(supervision.WriteLog)
+        if found.event == 'term_begun'
+    ]
+    assert note.start.position == core.Position(1, 140)
 
 
 def record_choice_after(harness: Harness, seconds: float) -> list:
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -77,6 +77,9 @@
     """
     found = await asked('primary 2 1.227 0 0 1 4', '1.227')
     assert (found.marker, found.lsn, found.received_lsn) == (2, 0, 0)
+    # The log shows it all the same, or a lost commit couldn't be traced.
+    assert found.stated_received == core.Position(1, 227)
+    assert found.stated_applied == core.Position(1, 227)
 
 
 async def test_a_position_of_the_current_term_counts(asked):
