Log changes of the permission and of the endpoints

Operators saw 1602 lines without knowing when and why a proxy had lost the permission to acknowledge, or whether a member had promised a later term. A restart of an endpoint within one term left no line at all.

Change: 1311 is logged when a proxy gains or loses the permission of a term, with the reason, the newest answer of each member, its age and whether a peer polled it, and the answers that don't count yet. 1507 is logged when an endpoint reports another role or term, 1508 when it is reached again after all connections had ended, one of them lost or timed out. All are within the rate limit of lines about requests, and `tidegrade logs request` shows them around a request.

Only answers to polls and orders are compared: after a statement an endpoint may state the position of the term before, which would make two lines a poll. A renewal of the permission makes none.

Ruled out: commands of the group machine for these changes; every driver would have to handle what decides nothing. The changes are kept in a short queue that the group's task empties after each event.

Before: a change of primary in a test with stand-ins shows 1307, 1302 and 1310, then 1303 and 1301. After: also 1311 with `later_term_promised`, and 1507 of the promoted endpoint at both proxies.

--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -31,6 +31,8 @@
 from tidegrade.core import _view
 from tidegrade.core import _writes
 from tidegrade.core.permission import _permission
+from tidegrade.core.tracing import _endpoint_history
+from tidegrade.core.tracing import _permission_state
 
 #: Jobs for callers that only a primary runs.
 _WRITING = (
@@ -40,6 +42,15 @@
     _jobs.CommitJob,
 )
 
+#: Jobs whose answers state the role and the term of an endpoint. After a
+#: statement it may state the position of the term before.
+_STATUS_JOBS = (
+    _jobs.StatusJob,
+    _jobs.FenceJob,
+    _jobs.PromoteJob,
+    _jobs.FollowJob,
+)
+
 _TXN_KINDS = frozenset(
     {_types.Kind.EXECUTE, _types.Kind.COMMIT, _types.Kind.ROLLBACK}
 )
@@ -57,6 +68,7 @@
         state = _state.GroupState.create(cfg, settings, rng)
         self._state = state
         self._registry = _registry.Registry(state)
+        self._history = _endpoint_history.EndpointHistory()
         self._budget = _retry.RetryBudget()
         self._confirmations = _confirm.Confirmations(state)
         self._polls = _polls.Polling(state, self._confirmations)
@@ -175,6 +187,18 @@
         """
         return self._state.permission.needs_row(now)
 
+    def permission_state(
+        self, now: float
+    ) -> _permission_state.PermissionState:
+        """Return the state of the permission and its grants, for the log."""
+        return _permission_state.state_of(self._state, now)
+
+    def take_endpoint_changes(
+        self,
+    ) -> list[_endpoint_history.EndpointChange]:
+        """Remove and return the changes of the endpoints, for the log."""
+        return self._history.take()
+
     def in_use(self) -> bool:
         """Return whether a request or transaction is unfinished."""
         return bool(len(self._registry) or len(self._txns))
@@ -252,6 +276,8 @@
         conn = self._state.pool.get(event.conn)
         if conn is None:
             return
+        view = self._state.views[conn.endpoint]
+        self._history.opened(conn.endpoint, view.failures, view.refused, now)
         self._state.pool.opened(conn, now)
         if conn.state is _pool.ConnState.IDLE:
             self._polls.poll_due(now)
@@ -266,12 +292,17 @@
                 view.record_full(now)
             else:
                 view.record_failure(event.refused, now)
+        elif conn.state is not _pool.ConnState.CLOSING:
+            self._history.broke(conn.endpoint)
         if conn.job is not None:
             lost = _jobs.JobFailed(_jobs.Failure.LOST)
             self._record_work(conn, lost, now)
             self._finish_job(conn, lost, now)
         self._txns.conn_lost(conn)
         self._state.pool.closed(conn, now)
+        self._history.closed(
+            conn.endpoint, self._state.pool.open_count(conn.endpoint), now
+        )
 
     def _job_ended(self, event: _events.JobEnded, now: float) -> None:
         conn = self._state.pool.get(event.conn)
@@ -307,6 +338,8 @@
             conn.state = _pool.ConnState.IDLE
         if outcome.report is not None:
             self._state.pool.answered(conn)
+            if isinstance(job, _STATUS_JOBS):
+                self._history.reported(conn.endpoint, outcome.report, sent_at)
             _reports.observe(
                 self._state,
                 conn.endpoint,
@@ -327,6 +360,8 @@
         late = failed.failure is _jobs.Failure.TIMEOUT
         # A time-out is no failure of an endpoint that has answered on another
         # connection since the job was sent.
+        if lost or late:
+            self._history.broke(conn.endpoint)
         if lost or (late and view.last_answer_at <= conn.sent_at):
             view.record_failure(False, now)
         if not failed.usable:
--- a/src/tidegrade/core/_pool.py
+++ b/src/tidegrade/core/_pool.py
@@ -154,6 +154,12 @@
         conns = self._by_endpoint.get(endpoint, ())
         return sum(conn.state is ConnState.OPENING for conn in conns)
 
+    def open_count(self, endpoint: str) -> int:
+        """Return the number of connections that can run jobs."""
+        ended = (ConnState.OPENING, ConnState.CLOSING)
+        conns = self._by_endpoint.get(endpoint, ())
+        return sum(conn.state not in ended for conn in conns)
+
     def surplus(self, now: float) -> list[Conn]:
         """Return idle connections above the usual number, to be closed.
 
--- a/src/tidegrade/daemon/_group_task.py
+++ b/src/tidegrade/daemon/_group_task.py
@@ -21,6 +21,7 @@
 from tidegrade.daemon import _deps
 from tidegrade.daemon import _peers_task
 from tidegrade.daemon import _row_task
+from tidegrade.daemon.decisions import _decision_log
 from tidegrade.daemon.decisions import _fields
 from tidegrade import logs
 from tidegrade.peers import _messages as messages
@@ -88,6 +89,7 @@
         )
         rng = random.Random(deps.rng.getrandbits(64))
         self.machine = core.GroupMachine(cfg, settings, rng)
+        self._decisions = _decision_log.DecisionLog(str(key), self.machine)
         self._supervisor = core.Supervisor(
             str(key), deps.proxy_id, rng, deps.traits
         )
@@ -278,6 +280,7 @@
             self._command_handlers[type(command)](command)
         if isinstance(event, core.RowReceived):
             self._log_term()
+        self._decisions.observe(now)
 
     def _log_term(self) -> None:
         row = self.machine.row
--- a/src/tidegrade/logs/_events.py
+++ b/src/tidegrade/logs/_events.py
@@ -122,6 +122,11 @@
         logging.WARNING,
         'this proxy has claimed an attempt to begin a term',
     )
+    PERMISSION_CHANGED = (
+        1311,
+        logging.INFO,
+        'the permission of this proxy to acknowledge writes has changed',
+    )
     PEER_REFUSED = (1401, logging.WARNING, 'input from a peer was rejected')
     PEER_SILENT = (
         1404,
@@ -180,6 +185,16 @@
         'an endpoint fails statements; it gets single trials only',
     )
     ENDPOINT_WORKS = (1506, logging.INFO, 'an endpoint answers statements')
+    ENDPOINT_REPORTED = (
+        1507,
+        logging.INFO,
+        'an endpoint reports another role or term, or its first after 1508',
+    )
+    ENDPOINT_REACHED = (
+        1508,
+        logging.INFO,
+        'an endpoint is reached again after its connections had ended',
+    )
     REQUEST_FAILED = (
         1601,
         logging.ERROR,
