Name an instance by its service and address when promoting it

What callers saw: a service whose primary was lost stayed without one for as long as another client's entry stood in the list. Each promotion was refused with 409.

Cause: ids for promotions were kept by address alone. An entry of a service that no configuration names, with the address of an instance and a key that sorts after the instance's own, replaced the instance's id.

The new test lists both, with a key before and one after.

Ruled out: refusing entries of unknown services in the decoder. The configuration may name the service a moment later, and the list is passed on to other proxies whose configuration differs.

Change: ids are kept by service and address, and asked for by both.

--- a/tests/daemon/test_promotion_order.py
+++ b/tests/daemon/test_promotion_order.py
@@ -227,7 +227,9 @@
         self.group.start_soon(task.run)
         task.post(core.Registered(True))
 
-    async def _id_of(self, name: str, address: _settings.Address) -> str:
+    async def _id_of(
+        self, name: str, group: str, address: _settings.Address
+    ) -> str:
         await self.steps.at(f'{name} asks id')
         for instance in self.instances.values():
             if instance.port == address.port:
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -13,6 +13,7 @@
 import result
 from tidegrade_platform import _directory
 from tidegrade_platform import _entries
+from tidegrade_platform import _settings
 from tidegrade_platform import _store
 
 from tidegrade import logs
@@ -171,6 +172,21 @@
     assert events[100:] == [logs.LogEvent.ENTRY_RECOVERED] * 100
 
 
+@pytest.mark.parametrize('key', ['a-0', 'z-0'])
+async def test_a_foreign_service_does_not_name_the_instance_to_promote(
+    directory, store, key
+):
+    """A lost primary stayed without a successor: each call got a 409."""
+    other = {**SOUND, 'service': 'no-service'}
+    store.rows = {
+        'i-1': json.dumps(SOUND).encode(),
+        key: json.dumps(other).encode(),
+    }
+    address = _settings.Address('10.0.0.1', 8080)
+    assert await directory.id_of(SOUND['service'], address) == 'i-1'
+    assert await directory.id_of('another', address) is None
+
+
 json_values = st.recursive(
     st.none()
     | st.booleans()
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -42,7 +42,7 @@
         duties = _duties.Duties(
             _settings.Address('127.0.0.1', 1), 'p', _clock.MonotonicClock()
         )
-        instances = _instances.Instances('p', duties, lambda _: None)
+        instances = _instances.Instances('p', duties, lambda *_: None)
         endpoint = config.Endpoint('127.0.0.1', port, 'x')
         group = config.Group(
             endpoints={'a': endpoint}, initial_primary='a', database='svc'
--- a/tests/platform/test_late_orders.py
+++ b/tests/platform/test_late_orders.py
@@ -42,7 +42,7 @@
     group = config.Group(
         endpoints={'b': endpoint}, initial_primary='b', database='svc'
     )
-    endpoints = _instances.Instances('p', duties, lambda _: None)
+    endpoints = _instances.Instances('p', duties, lambda *_: None)
     return (await endpoints.connect(endpoint, group, '')).unwrap()
 
 
