--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -99,9 +99,14 @@
 
     def __init__(self) -> None:
         self.rows: dict[str, bytes] = {}
+        #: Versions of the rows; 1 for a row that has none here.
+        self.versions: dict[str, int] = {}
 
     async def snapshot(self, table):
-        rows = [_store.Row(key, raw, 1) for key, raw in self.rows.items()]
+        rows = [
+            _store.Row(key, raw, self.versions.get(key, 1))
+            for key, raw in self.rows.items()
+        ]
         return result.Ok(_store.Snapshot(rows, 1))
 
 
@@ -187,6 +192,24 @@
     assert await directory.id_of('another', address) is None
 
 
+@pytest.mark.parametrize('key', ['a-0', 'z-0'])
+@pytest.mark.parametrize('state', ['ready', 'draining'])
+async def test_an_outdated_entry_does_not_replace_that_of_the_instance(
+    directory, store, key, state
+):
+    """The instance's drain was not seen, or it could not be promoted."""
+    store.rows = {
+        key: json.dumps({**SOUND, 'slots': 2**63}).encode(),
+        'i-1': json.dumps({**SOUND, 'state': state}).encode(),
+    }
+    store.versions = {key: 7, 'i-1': 8}
+    (found,) = (await directory.endpoints()).unwrap().entries
+    assert (found.id, found.leaving) == ('i-1', state == 'draining')
+    address = _settings.Address('10.0.0.1', 8080)
+    named = await directory.id_of(SOUND['service'], address)
+    assert named == ('i-1' if state == 'ready' else None)
+
+
 json_values = st.recursive(
     st.none()
     | st.booleans()
