--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -192,6 +192,15 @@
     assert not any('nirth5mgjy5rcpihhacr' in text for text in errors)
 
 
+@pytest.mark.parametrize('depth', [300, 1_000, 5_000])
+def test_a_deeply_nested_configuration_is_refused_without_its_keys(depth):
+    """One that could be read but not written ended each process."""
+    nested = b', "later": ' + b'[' * depth + b']' * depth + b'}'
+    kept = _configs.without_keys(shared(tenant())[:-1] + nested)
+    errors = _configs.decode_config(kept).unwrap_err()
+    assert 'nirth5mgjy5rcpihhacr' not in ''.join(errors)
+
+
 @given(st.binary(max_size=60))
 def test_without_keys_accepts_any_bytes(raw):
     _configs.without_keys(raw)
