Refuse rows whose values end the process that uses them

What callers saw: nothing yet; found by probing what uses the rows of the product's own table, to which other clients can write too. One odd row there ended each proxy that read it, and again after each restart.

Cause: the decoders checked types only. A registration's host that is not ASCII raises UnicodeError in place of an OSError when a link connects to it, a port out of range OverflowError on event loops other than uvloop (with uvloop it is an OSError). A member of a row that is not an address raised ValueError as the groups were updated.

Evidence: a script that ran a link to each such address and encoded each such term raised in all these cases; the new tests check the decoders.

Ruled out: catching every exception of a link or of the encoder, which would hide faults of this program.

A member that is no address is left out of the endpoints; it still counts as a member.

--- a/src/tidegrade/session_proxy/_groups.py
+++ b/src/tidegrade/session_proxy/_groups.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import re
 
 import attrs
 
@@ -17,6 +18,10 @@
 #: gone, in seconds. Entries that expire while the platform's store is down are
 #: written again about two seconds after its return.
 GONE_AFTER_S = 6.0
+#: The name of an endpoint: an IPv4 address and a port other than 0.
+_ADDRESS_PATTERN = re.compile(
+    r'(?P<host>[0-9.]{7,15}):(?P<port>[1-9][0-9]{0,4})'
+)
 
 
 @attrs.define
@@ -66,18 +71,19 @@
         """Add the members of a group's row to its endpoints.
 
         An endpoint whose entry has expired is still a member. Its name is
-        its address; only its failure domain is unknown.
+        its address; only its failure domain is unknown. A name that is no
+        address, which only another client can have written, is left out.
         """
         known = self._seen.setdefault(group, {})
         for name in members:
-            host, _, port = name.rpartition(':')
-            if name not in known:
+            address = _ADDRESS_PATTERN.fullmatch(name)
+            if name not in known and address is not None:
                 self._listed_at.setdefault(name, self._learned_at)
                 known[name] = ports.EndpointEntry(
                     id='',
                     group=group,
-                    host=host,
-                    port=int(port),
+                    host=address['host'],
+                    port=int(address['port']),
                     domain='',
                     slots=1,
                     leaving=False,
--- a/tests/codec/test_rows.py
+++ b/tests/codec/test_rows.py
@@ -92,3 +92,30 @@
 def test_values_are_not_coerced_to_other_types(port):
     plain = {**json.loads(_rows.encode_registered(ENTRY)), 'port': port}
     assert _rows.decode_registered(json.dumps(plain).encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    'change',
+    [{'port': 0}, {'port': 65536}, {'host': ''}, {'host': '\xe9' * 70}],
+    ids=str,
+)
+def test_a_registration_that_nothing_can_connect_to_is_an_error(change):
+    """The attempt raised no OSError and ended each process that scanned."""
+    raw = _rows.encode_registered(attrs.evolve(ENTRY, **change))
+    assert _rows.decode_registered(raw).is_err()
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'term': 0},
+        {'term': 2**64 - 1},
+        {'log_term': -1},
+        {'attempt': core.Attempt('x', 'p', 2**63)},
+    ],
+    ids=str,
+)
+def test_a_row_whose_term_does_not_fit_into_messages_is_an_error(change):
+    """The next message with the term raised and ended the process."""
+    raw = _rows.encode_row(attrs.evolve(ROW, **change))
+    assert _rows.decode_row(raw).is_err()
--- a/tests/sessions/test_groups.py
+++ b/tests/sessions/test_groups.py
@@ -70,3 +70,14 @@
     assert listed.gone('g') == frozenset()
     listed.learn([LEADER, REPLICA], 30.0)
     assert listed.gone('g') == {'10.0.0.9:80'}
+
+
+@pytest.mark.parametrize(
+    'name', ['', 'x', '10.0.0.9:', '10.0.0.9:-1', ':1', '\xb2:1']
+)
+def test_a_member_without_an_address_is_left_out(listed, name):
+    """A row of another client with such a member ended the process."""
+    listed.learn([LEADER], 10.0)
+    listed.learn_members('g', [name, '10.0.0.2:80'])
+    cfg = listed.config_of(GROUP, CATALOGUE, 20.0)
+    assert set(cfg.endpoints) == {'10.0.0.1:80', '10.0.0.2:80'}
