Leave out members whose port is out of range

What callers saw: nothing that was shown; a row of another client that names a member with a port above 65535 would end the process at the attempt to connect.

Cause: the pattern for the names of endpoints bounded the digits of a port, not its value, and the error of such an attempt is an OverflowError, which no connection raises otherwise. Ruled out: catching it at the connection, since the member would then vote in its group.

Change: a name counts as an address only if it is an IPv4 address and a port from 1 to 65535 as they are usually written.

Before: the cases 10.0.0.9:70000 and 10.0.0.999:80 fail. After: all pass.

--- a/src/tidegrade/session_proxy/_groups.py
+++ b/src/tidegrade/session_proxy/_groups.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
-import re
+import ipaddress
 
 import attrs
 
+from tidegrade.codec import _rows
 from tidegrade import config
 from tidegrade import ports
 from tidegrade import sessions
@@ -18,10 +19,6 @@
 #: gone, in seconds. Entries that expire while the platform's store is down are
 #: written again about two seconds after its return.
 GONE_AFTER_S = 6.0
-#: The name of an endpoint: an IPv4 address and a port other than 0.
-_ADDRESS_PATTERN = re.compile(
-    r'(?P<host>[0-9.]{7,15}):(?P<port>[1-9][0-9]{0,4})'
-)
 
 
 @attrs.define
@@ -76,14 +73,14 @@
         """
         known = self._seen.setdefault(group, {})
         for name in members:
-            address = _ADDRESS_PATTERN.fullmatch(name)
+            address = _address_of(name)
             if name not in known and address is not None:
                 self._listed_at.setdefault(name, self._learned_at)
                 known[name] = ports.EndpointEntry(
                     id='',
                     group=group,
-                    host=address['host'],
-                    port=int(address['port']),
+                    host=address[0],
+                    port=address[1],
                     domain='',
                     slots=1,
                     leaving=False,
@@ -140,3 +137,19 @@
             poll_interval_s=self.report_interval,
             txn_idle_s=catalogue.txn_idle,
         )
+
+
+def _address_of(name: str) -> tuple[str, int] | None:
+    """Return the IPv4 address and the port that name an endpoint, if any.
+
+    An attempt to connect to a port out of range raises an error that is no
+    error of a connection.
+    """
+    host, _, text = name.rpartition(':')
+    try:
+        address, port = ipaddress.IPv4Address(host), int(text)
+    except ValueError:
+        return None
+    if name != f'{address}:{port}' or not 0 < port <= _rows.MAX_PORT:
+        return None
+    return host, port
--- a/tests/sessions/test_groups.py
+++ b/tests/sessions/test_groups.py
@@ -73,7 +73,18 @@
 
 
 @pytest.mark.parametrize(
-    'name', ['', 'x', '10.0.0.9:', '10.0.0.9:-1', ':1', '\xb2:1']
+    'name',
+    [
+        '',
+        'x',
+        '10.0.0.9:',
+        '10.0.0.9:-1',
+        '10.0.0.9:0',
+        '10.0.0.9:70000',
+        '10.0.0.999:80',
+        ':1',
+        '\xb2:1',
+    ],
 )
 def test_a_member_without_an_address_is_left_out(listed, name):
     """A row of another client with such a member ended the process."""
