Don't send the log's fields of a trace to other proxies

What callers would see: while proxies of two versions run, an answer that a newer home forwards to an older proxy is refused there, since the codec allows no unknown field; a read is tried elsewhere and a write is reported as unknown.

Cause: the fields that tell operators what an answer was based on are part of its trace, which is forwarded. Ruled out: allowing unknown fields, which helps only proxies that have that change already.

Change: these fields are left out of forwarded answers; the line of a forwarded request lacks them. Sending them takes a version of all proxies that ignores unknown fields of a trace, which is left.

--- a/src/tidegrade/peers/_forwarding.py
+++ b/src/tidegrade/peers/_forwarding.py
@@ -11,6 +11,7 @@
 import math
 import typing
 
+import attrs
 import cattrs
 import orjson
 
@@ -24,6 +25,15 @@
 _SIMPLE_TYPES = frozenset({str, int, bool, type(None)})
 
 
+#: Fields of a trace that are not sent to other proxies, with their defaults.
+_UNSENT_TRACE_FIELDS: dict[str, typing.Any] = {
+    field.name: field.default
+    for field in attrs.fields(core.Trace)
+    if field.name
+    in ('to_primary', 'basis', 'reported', 'repeated', 'commit', 'grants')
+}
+
+
 class Encoded(typing.NamedTuple):
     """The JSON of a request or an answer.
 
@@ -43,7 +53,14 @@
 
 
 def encode_answer(answer: core.Answer) -> Encoded:
-    """Return an answer as JSON."""
+    """Return an answer as JSON.
+
+    What its trace tells for the log only is left out: proxies of an earlier
+    version refuse an answer with fields that they don't know.
+    """
+    if answer.trace is not None:
+        trace = attrs.evolve(answer.trace, **_UNSENT_TRACE_FIELDS)
+        answer = attrs.evolve(answer, trace=trace)
     values = (
         value for part in answer.results for row in part.rows for value in row
     )
