Let a replica of the stand-in receive nothing of its primary's log

The test of the election needs a replica that follows a primary and has received less than another, at a port that decides the order of names. What callers see does not change: both are off by default. The positions of log entries that the test needs are those of `Traits.numbers_go_on`. Ruled out: a deaf replica, which does not take over the term either.

--- a/standins/tidegrade_edge/_instance.py
+++ b/standins/tidegrade_edge/_instance.py
@@ -108,6 +108,7 @@
     ``dark``: it neither answers nor closes. ``deaf``: it receives nothing
     from its primary. ``lose_answers`` counts statements that run and end
     the connection instead of answering. ``busy`` refuses every statement.
+    ``starved``: it follows, but nothing of its primary's log arrives.
     ``work`` is how long a caller's statement takes, in seconds. ``forget``
     makes connections forget their prepared names before each EXEC. With
     ``unnamed`` the answers to callers' statements name no position.
@@ -115,6 +116,7 @@
 
     dark: bool = False
     deaf: bool = False
+    starved: bool = False
     busy: bool = False
     lose_answers: int = 0
     work: float = 0.0
@@ -239,6 +241,8 @@
     def follow(self, primary: 'Instance') -> None:
         """Take over the primary's log, as replication does."""
         self.term = primary.term
+        if self.faults.starved:
+            return
         kept = 0
         for mine, theirs in zip(self.log, primary.log, strict=False):
             if mine != theirs:
--- a/standins/tidegrade_edge/_site.py
+++ b/standins/tidegrade_edge/_site.py
@@ -43,6 +43,7 @@
     Where it is ``relayed``, all connections of proxies to the store and to
     instances run through relays, which can disturb them. ``cores`` are the
     stated capacities of the proxies' VMs; they state none if it is empty.
+    ``ports`` are those of the instances; 0 is any that is free.
 
     Where it is ``routed``, the connections of each proxy to each instance and
     to each other proxy run through a relay of their own, those to the store
@@ -61,6 +62,7 @@
     routed: bool = False
     promotion_ends_promises: bool = False
     traits: _instance.Traits = attrs.field(factory=_instance.Traits)
+    ports: tuple[int, ...] = (0, 0, 0)
 
 
 @attrs.define
@@ -92,6 +94,8 @@
             self._make_instance(f'i-{zone}', zone) for zone in ZONES
         ]
         self.instances[0].role = 'primary'
+        for instance, port in zip(self.instances, self.cfg.ports, strict=True):
+            instance.port = port
         self.proxies: list[ProxyProcess] = []
         #: Promotions as they were ordered: id, holder, fence.
         self.promotions: list[tuple[str, str, int]] = []
