Elect the endpoint by the last entry that it has received

What callers saw: acknowledged commits could be missing in later reads after two changes of primary with no commit between them.

Cause: an endpoint reports the position of its last entry, which is of the former term until the first commit of a new one. The decoder turned a received position of a former term into 0. So after the first change all endpoints ranked equal, as (term followed, 0), and the second change chose by name, also an endpoint that had received less of the former term than another.

Evidence: tests/edge/test_edge_failures.py, three proxies as processes: five writes reach two of three instances, the primary crashes and returns as a replica, the second primary crashes before it commits. The instance that lacked the writes was promoted (1.2, 1.2 and 1.3 in place of 1.8).

Ruled out: PostgreSQL, whose LSNs do not restart; its reports name the marker as the term of the position and rank as before. Confirmations and logs keep their meaning: `received_lsn` is derived, and is 0 for another term's entry.

Change: a report carries the received position with its own term. The election compares the term of the last received entry, then its number. The term that an endpoint follows is no longer compared before them. An endpoint can follow the new term and have received less of the former one than an endpoint that still reports the former term: the latter is chosen. Logs that end in the same term are of one primary and differ only in length, so its log contains the other's, and an endpoint without an entry of the new term holds nothing that the new term acknowledged. The price: entries of the former term that the new primary had not received can return; their callers got an acknowledgement or an unknown outcome. An entry of the new term outranks any log of the former. Of equal logs, an endpoint that does not fail callers' statements is chosen, then the one that follows the newer term.

--- a/bench/tidegrade_bench/_slopes.py
+++ b/bench/tidegrade_bench/_slopes.py
@@ -146,7 +146,8 @@
                     events.append(core.ConnOpened(command.conn))
                 elif isinstance(command, core.RunJob):
                     replica = self._names[command.conn] != 'a'
-                    report = core.EndpointReport(replica, 9, 9, 1, 0)
+                    received = core.Position(1, 9)
+                    report = core.EndpointReport(replica, 9, received, 1, 0)
                     done = core.JobDone(report, after_lsn=9)
                     events.append(core.JobEnded(command.conn, done))
 
--- a/src/tidegrade/adapters/_postgres.py
+++ b/src/tidegrade/adapters/_postgres.py
@@ -389,11 +389,13 @@
 async def _report(cur: psycopg.AsyncCursor) -> core.EndpointReport:
     row = await cur.fetchone()
     assert row is not None
+    marker = int(row[3] or 0)
     return core.EndpointReport(
         in_recovery=bool(row[0]),
         lsn=sql.parse_lsn(row[1]),
-        received_lsn=sql.parse_lsn(row[2]),
-        marker=int(row[3] or 0),
+        # LSNs do not restart with a term.
+        received=core.Position(marker, sql.parse_lsn(row[2])),
+        marker=marker,
         promised=int(row[4] or 0),
     )
 
--- a/src/tidegrade/core/_election.py
+++ b/src/tidegrade/core/_election.py
@@ -32,7 +32,7 @@
     data has all of them. If that endpoint is not eligible, another must
     first catch up with it, unless the eligible endpoints are a majority by
     themselves. Of endpoints with equally new data, one that fails callers'
-    statements comes last.
+    statements comes last, and one that follows a newer term comes first.
     """
     if len(set(known.fenced) & row.members) < row.majority:
         return None
@@ -46,7 +46,12 @@
     newest = max(data_rank(report) for report in known.fenced.values())
     best = max(
         eligible,
-        key=lambda n: (data_rank(eligible[n]), n not in known.failing, n),
+        key=lambda n: (
+            data_rank(eligible[n]),
+            n not in known.failing,
+            eligible[n].marker,
+            n,
+        ),
     )
     if data_rank(eligible[best]) >= newest:
         return best
@@ -71,7 +76,11 @@
 def data_rank(report: _types.EndpointReport) -> tuple[int, int]:
     """Return a sort key for endpoints; the greatest has the newest data.
 
-    The term stored in the data is compared first, since a longer log of an
-    older term lacks the writes that the newer term has acknowledged.
+    The term of the last received entry is compared first, since a longer log
+    of an older term lacks the writes that the newer term has acknowledged.
+    Logs that end in the same term differ only in length. The term that an
+    endpoint follows says nothing about its data until it has received an
+    entry of that term: it can have less of the former term than an endpoint
+    that has not begun to follow.
     """
-    return (report.marker, report.received_lsn)
+    return (report.received.term, report.received.lsn)
--- a/src/tidegrade/core/_types.py
+++ b/src/tidegrade/core/_types.py
@@ -250,14 +250,16 @@
     """The status of an endpoint, read together with every statement.
 
     ``lsn`` is the applied position on a replica and the current position
-    on a primary. ``received_lsn`` is the position up to which a replica
-    holds the log durably. ``marker`` is the term that is written in the
-    data itself. ``promised`` is the lowest term for which this endpoint
-    still grants write permission. Some endpoints return only a short report
-    with each statement; it leaves ``in_recovery`` and ``promised`` unknown
-    (None). With ``repeats_position`` the answer named no position, and the
-    one given here is that of an earlier answer: the endpoint has reached it,
-    but nothing shows that it had not reached a later one by then.
+    on a primary. ``received`` is the position up to which a replica holds
+    the log durably. ``marker`` is the term that the endpoint leads or
+    follows, as it counts terms. Until the first commit of that term has been
+    received, ``received`` can belong to an earlier one. ``promised`` is the
+    lowest term for which this endpoint still grants write permission. Some
+    endpoints return only a short report with each statement; it leaves
+    ``in_recovery`` and ``promised`` unknown (None). With
+    ``repeats_position`` the answer named no position, and the one given here
+    is that of an earlier answer: the endpoint has reached it, but nothing
+    shows that it had not reached a later one by then.
 
     ``stated_applied`` and ``stated_received`` are for the log only: the
     positions as the endpoint stated them, each in its own term. They are
@@ -266,13 +268,18 @@
 
     in_recovery: bool | None
     lsn: int
-    received_lsn: int
+    received: Position
     marker: int
     promised: int | None
     repeats_position: bool = False
     stated_applied: Position | None = None
     stated_received: Position | None = None
 
+    @property
+    def received_lsn(self) -> int:
+        """The received LSN of the term ``marker``, 0 if there is none."""
+        return self.received.lsn if self.received.term == self.marker else 0
+
 
 class InvariantBroken(AssertionError):
     """An invariant does not hold; the process must stop."""
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -99,7 +99,7 @@
             report,
             in_recovery=known.in_recovery,
             promised=known.promised,
-            received_lsn=max(report.received_lsn, known.received_lsn),
+            received=max(report.received, known.received, key=attrs.astuple),
         )
 
     def record_failure(self, refused: bool, now: float) -> None:
--- a/standins/tidegrade_fakes/_endpoint.py
+++ b/standins/tidegrade_fakes/_endpoint.py
@@ -63,11 +63,12 @@
     def report(self) -> core.EndpointReport:
         """Give what the endpoint says of itself."""
         marks = [e.mark for e in self.log[: self.applied] if e.mark]
+        marker = max(marks, default=0)
         return core.EndpointReport(
             in_recovery=self.in_recovery,
             lsn=self.applied * ENTRY_SIZE,
-            received_lsn=len(self.log) * ENTRY_SIZE,
-            marker=max(marks, default=0),
+            received=core.Position(marker, len(self.log) * ENTRY_SIZE),
+            marker=marker,
             promised=self.promised,
         )
 
--- a/standins/tidegrade_fakes/_forgetful.py
+++ b/standins/tidegrade_fakes/_forgetful.py
@@ -44,7 +44,7 @@
         return core.EndpointReport(
             in_recovery=self.in_recovery,
             lsn=applied if applied_term == term else 0,
-            received_lsn=received,
+            received=core.Position(term, received),
             marker=term,
             promised=promised,
         )
--- a/tests/core/machines.py
+++ b/tests/core/machines.py
@@ -18,11 +18,12 @@
 
 
 def report(lsn: int, **changes) -> core.EndpointReport:
+    marker = changes.get('marker', 1)
     fields = {
         'in_recovery': True,
         'lsn': lsn,
-        'received_lsn': lsn,
-        'marker': 1,
+        'received': core.Position(marker, lsn),
+        'marker': marker,
         'promised': 0,
         **changes,
     }
--- a/tests/core/test_failover.py
+++ b/tests/core/test_failover.py
@@ -19,7 +19,7 @@
     return core.EndpointReport(
         in_recovery=replica,
         lsn=lsn,
-        received_lsn=lsn,
+        received=core.Position(marker, lsn),
         marker=marker,
         promised=promised,
     )
--- a/tests/edge/test_edge_failures.py
+++ b/tests/edge/test_edge_failures.py
@@ -73,6 +73,42 @@
     await until(all_follow)
 
 
+async def test_two_changes_without_a_commit_between_them_lose_nothing(
+    tmp_path, run_site, until
+):
+    """The endpoint that lacked acknowledged writes was promoted by its name.
+
+    Until the first commit of a term all positions are of the former one.
+    """
+    cfg = edge.SiteSettings(
+        traits=edge.Traits(numbers_go_on=True),
+        ports=tuple(edge.free_ports(3)),
+    )
+    async with run_site(tmp_path, cfg) as site:
+        first, second, behind = site.instances
+        behind.faults.starved = True
+        for _ in range(5):
+            assert await write(site) == ''
+        written = first.received
+        await until(lambda: _holds(second.received == written))
+        first.crash()
+        await until(lambda: _holds(second.role == 'primary'))
+        site.restart_instance(first)
+
+        async def all_follow() -> bool:
+            return all(i.term == 2 and not i.held for i in site.instances)
+
+        await until(all_follow)
+        assert {i.received[0] for i in site.instances} == {1}
+        second.crash()
+        await until(lambda: _holds(site.primary.term == 3))
+        assert site.primary.received == written
+
+
+async def _holds(condition: bool) -> bool:
+    return condition
+
+
 async def test_writes_go_on_while_the_store_is_down(site):
     site.store.faults.refusing = True
     for _ in range(12):
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -12,6 +12,7 @@
 from tidegrade.adapters import _clock
 from tidegrade import config
 from tidegrade import core
+from tidegrade.core import _election
 
 pytestmark = pytest.mark.anyio
 
@@ -87,6 +88,24 @@
     assert (found.marker, found.lsn, found.received_lsn) == (2, 7, 9)
 
 
+async def test_the_longer_log_is_elected_before_the_first_commit(asked):
+    """Acknowledged writes were lost if the primary changed twice.
+
+    Positions of the former term did not count, so the choice fell on the
+    last name, whatever each endpoint had received.
+    """
+    fenced = {
+        'a': await asked('replica 2 1.227 3 0 0 4', '1.227'),
+        'c': await asked('replica 2 1.225 3 0 0 4', '1.225'),
+    }
+    members = frozenset('abc')
+    known = _election.ElectionState(
+        fenced, members, frozenset(), may_wait=False
+    )
+    row = core.GroupRow(2, 'b', members)
+    assert _election.choose_primary(row, known) == 'a'
+
+
 @pytest.mark.parametrize(
     ('row', 'ready'),
     [
