Judge a grant by when its answer was received

What callers could see: a write acknowledged at a former primary, or a read that lacks one of the new term, through a proxy that is cut off from the others while its link to a replica stalls for half a second.

Cause: a grant was taken to come from before the promotion if its poll was sent while the permission was held. The answer may come up to the time limit of a poll later, and the promotion may take effect in between. A grant of this proxy that did not count yet also displaced one of a peer that did.

Ruled out: a shorter time limit of polls, which would count slow replicas as failed.

Change: the time at which the answer was received decides, for evidence of other proxies the time at which it came. An answer that counts is recorded although a newer one that does not count yet is known.

--- a/src/tidegrade/core/_exchange.py
+++ b/src/tidegrade/core/_exchange.py
@@ -66,7 +66,7 @@
 
 
 def apply_evidence(
-    state: _state.GroupState, event: _events.EvidenceReceived
+    state: _state.GroupState, event: _events.EvidenceReceived, now: float
 ) -> None:
     """Apply the evidence of another proxy if it is of the same term."""
     evidence = event.evidence
@@ -78,7 +78,9 @@
     state.row_confirmed(event.asked_at)
     state.permission.peer_held(evidence.held_until)
     for grant in evidence.grants:
-        state.permission.answered(grant.member, grant.promised, grant.at)
+        state.permission.answered(
+            grant.member, grant.promised, grant.at, received_at=now
+        )
     if evidence.position is not None:
         state.record_position(
             evidence.position_at, evidence.position, own=False
--- a/src/tidegrade/core/_group.py
+++ b/src/tidegrade/core/_group.py
@@ -507,7 +507,7 @@
     def _evidence_received(
         self, event: _events.EvidenceReceived, now: float
     ) -> None:
-        _exchange.apply_evidence(self._state, event)
+        _exchange.apply_evidence(self._state, event, now)
 
     def _process_paused(
         self, event: _events.ProcessPaused, now: float
--- a/src/tidegrade/core/_reports.py
+++ b/src/tidegrade/core/_reports.py
@@ -26,7 +26,9 @@
     if row is None:
         return
     if report.promised is not None and _may_grant(state, row, report):
-        state.permission.answered(name, report.promised, sent_at, life_since)
+        state.permission.answered(
+            name, report.promised, sent_at, life_since, now
+        )
     promised = report.promised or 0
     if report.marker > row.marker or promised > row.term:
         state.emit(_events.FetchRow())
--- a/src/tidegrade/core/permission/_permission.py
+++ b/src/tidegrade/core/permission/_permission.py
@@ -95,22 +95,30 @@
         promised: int,
         sent_at: float,
         life_since: float = float('-inf'),
+        received_at: float | None = None,
     ) -> None:
         """Record a poll answer of ``member``; older answers are ignored.
 
-        The member has not been restarted since ``life_since``.
+        The member has not been restarted since ``life_since``. The answer
+        was received at ``received_at``, if not at once.
         """
         if member not in self._rules.members:
             return
-        answer = _promises.Grant(sent_at, promised, life_since)
+        if received_at is None:
+            received_at = sent_at
+        answer = _promises.Grant(sent_at, promised, received_at, life_since)
         if _is_older(answer, self._grants.get(member)):
             return
         if promised > self._term:
             self._uncovered.pop(member, None)
             self._record(member, answer)
+        elif self._covers(answer):
+            if not _is_older(answer, self._uncovered.get(member)):
+                self._uncovered.pop(member, None)
+            self._record(member, answer)
+            self._count_covered()
         elif not _is_older(answer, self._uncovered.get(member)):
             self._uncovered[member] = answer
-            self._count_covered()
 
     def registered(self, at: float) -> None:
         """Record that supervisors can know of this proxy from ``at`` on."""
@@ -129,6 +137,11 @@
         self._promises.peer_held(until)
         self._count_covered()
 
+    def _covers(self, grant: _promises.Grant) -> bool:
+        return self._promises.covers(
+            grant, self._held_until, PERMISSION_LENGTH
+        )
+
     def _record(self, member: str, answer: _promises.Grant) -> None:
         self._grants[member] = answer
         self._known_until = None
@@ -143,9 +156,7 @@
         while counted and self._uncovered:
             counted = False
             for member, grant in list(self._uncovered.items()):
-                if self._promises.covers(
-                    grant, self._held_until, PERMISSION_LENGTH
-                ):
+                if self._covers(grant):
                     del self._uncovered[member]
                     self._record(member, grant)
                     counted = True
--- a/src/tidegrade/core/permission/_promises.py
+++ b/src/tidegrade/core/permission/_promises.py
@@ -17,12 +17,14 @@
 class Grant:
     """A poll answer of a member; times in seconds.
 
-    ``promised`` is the term that the member had promised by then. The member
-    has not been restarted since ``life_since``.
+    ``promised`` is the term that the member had promised when it answered,
+    which was after ``sent_at`` and before ``received_at``. The member has not
+    been restarted since ``life_since``.
     """
 
     sent_at: float
     promised: int
+    received_at: float
     life_since: float = _NEVER
 
 
@@ -79,10 +81,10 @@
 
     - The promotion. It takes effect more than the length of a permission
       after a majority has promised the next term, unless this proxy has given
-      its permission up. So a poll that is sent while the permission is held is
-      not answered after it, nor is one that is sent within that time after
-      the row showed no attempt to end the term, or while another proxy is
-      known to hold the permission.
+      its permission up. So an answer that is received while the permission
+      is held was given before it, as was one that is received within that
+      time after the row showed no attempt to end the term, or while another
+      proxy is known to hold the permission.
     - The restart. The member must have run without one since the row showed
       no attempt: it had nothing to promise before.
 
@@ -123,4 +125,4 @@
             return False
         row_holds_until = self._row_asked_at + length
         until = max(held_until, row_holds_until, self._peer_held_until)
-        return grant.sent_at <= until
+        return grant.received_at <= until
