Wait from the fence of the majority that still promises

What callers could see: a read that lacks an acknowledged commit, at a primary that has stepped down, through a proxy that the supervisor can't reach.

Cause: the wait for unreachable holders counted from the first majority that had promised, and the choice may rest on another one. A member of the first may have lost its promise, as by a late order to follow, and have renewed the permission of a proxy until the others promised.

Ruled out: beginning the attempt anew whenever a promise is lost, which costs a claim.

Change: the supervisor notes since when each member has promised, forgets it where the promise is gone at the last look, and chooses only once the majority that is left has promised for the whole wait, unless every proxy has released its permission.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -82,6 +82,10 @@
     next_members: frozenset[str] = frozenset()
     fenced: dict[str, _types.EndpointReport] = attrs.field(factory=dict)
     fenced_at: float = 0.0
+    #: When each member was first seen to have promised the next term.
+    promised_since: dict[str, float] = attrs.field(factory=dict)
+    #: Whether all proxies that may hold the permission have released it.
+    released_by_all: bool = False
     #: Time at which the row that records the chosen primary was sent.
     recorded_at: float = 0.0
     permission_holders: frozenset[str] = frozenset()
@@ -388,6 +392,7 @@
         if promised < row.attempt.next_term:
             return
         self._progress.fenced[name] = report
+        self._progress.promised_since.setdefault(name, now)
         majority_fenced = _election.has_fenced_majorities(
             row, set(self._progress.fenced), self._progress.next_members
         )
@@ -422,7 +427,8 @@
         missing = progress.permission_holders - progress.released
         expired = now - progress.fenced_at >= _permission.PERMISSION_WAIT
         listed = _row.began_in(progress.row, progress.generation)
-        if expired or (listed and not missing):
+        progress.released_by_all = listed and not missing
+        if expired or progress.released_by_all:
             self._begin_choosing(now)
             return
         if now - progress.last_request_at >= REPEAT_INTERVAL_S:
@@ -477,11 +483,33 @@
             failing=seen.failing,
         )
         chosen = _election.choose_primary(row, candidates)
-        if chosen is None:
+        if chosen is None or not self._has_waited(candidates.fenced, now):
             return False
         self._record(chosen, now)
         return True
 
+    def _has_waited(
+        self, promising: dict[str, _types.EndpointReport], now: float
+    ) -> bool:
+        """Return whether no unreachable proxy can hold the permission.
+
+        The wait counts from the fence of the majority that still promises
+        the next term: another member may have lost its promise meanwhile and
+        renewed the permission of a proxy.
+        """
+        progress = self._progress
+        assert progress.row is not None
+        if progress.released_by_all:
+            return True
+        for name in progress.promised_since.keys() - promising.keys():
+            del progress.promised_since[name]
+        for name in promising:
+            progress.promised_since.setdefault(name, now)
+        members = progress.row.members & promising.keys()
+        since = sorted(progress.promised_since[name] for name in members)
+        fenced_at = since[progress.row.majority - 1]
+        return now - fenced_at >= _permission.PERMISSION_WAIT
+
     def _record(self, chosen: str, now: float) -> None:
         row = self._progress.row
         assert row is not None and row.attempt is not None
