Take a row that was written for one that was read

What callers could see: no writes in a new term while the store fails right after its row was written, since no proxy gains the permission without a read.

Cause: since grants count only beside a read of the row, the proxy that published the term needed one as well, although the row was its own.

Evidence: found by a review (its machine had no permission for 5 s and more). Ruled out: trusting announcements of a row, which may come late.

Change: a conditional write that succeeded counts as a read from when it was sent. The publisher holds the permission then, and the others with its word.

Before: the test gets no row with a time. After: it passes.

--- a/src/tidegrade/daemon/_row_task.py
+++ b/src/tidegrade/daemon/_row_task.py
@@ -158,9 +158,12 @@
 
     async def _write(self, order: supervision.WriteRow) -> None:
         value = _rows.encode_row(order.row)
+        sent_at = self._now()
         written = await self._table.write(self._key, value, order.expected)
         if written.is_ok():
             tag = written.unwrap()
+            # A row that was written was not changed before it was sent.
+            self._post(core.RowReceived(order.row, sent_at))
             self._post(supervision.RowWritten(order.row, tag))
         elif written.unwrap_err() is ports.WriteProblem.UNKNOWN:
             await self._settle(order)
--- a/tests/daemon/test_row_task.py
+++ b/tests/daemon/test_row_task.py
@@ -155,3 +155,27 @@
     assert table.writes == ['7']
     assert _rows.decode_row(table.value).unwrap() == NEWER
     assert all(event.row == NEWER for event in seen)
+
+
+async def test_a_written_row_is_reported_as_read_when_it_was_sent():
+    """Guards against a new term without a permission while reads fail.
+
+    The proxy that published the term knows that the row was current.
+    """
+    events = []
+    task = _row_task.RowTask(
+        'k',
+        RestoredTable(),
+        events.append,
+        lambda: 5.0,
+        interval=600.0,
+        serving=lambda: False,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(task.run)
+        task.order(supervision.WriteRow(NEWER, '7'))
+        with anyio.fail_after(10):
+            while len(events) < 2:
+                await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert events[0] == core.RowReceived(NEWER, 5.0)
