Name a position in the first reads of a term

What callers saw: after a planned change of primary, with nothing cut off and no process ended, reads on session and bounded routes at the new primary lacked acknowledged commits, the session's own among them.

Cause: until the first commit of a term no position of it is known, so reads at its primary relied on the permission alone. An instance that leads may still be applying what it had received. The same way, a primary that restarts and replays its log shows lower positions for a while, and these were dated.

Ruled out: waiting until the primary has applied all, which no report of it tells.

Change: the row tells the position that the chosen endpoint had received as its term began, and reads and transactions at the primary name it until a position of the term is known. A position of the primary never counts as lower than one before it.

Before: the new tests fail.

--- a/src/tidegrade/core/_failover.py
+++ b/src/tidegrade/core/_failover.py
@@ -563,6 +563,7 @@
             config_version=self._progress.config_version,
             forks=(*row.forks, fork),
             log_term=0 if marker == attempt.next_term else marker,
+            start=done.report.received,
         )
         self._progress.starts_at = _position_at_start(row.term, done)
         self._progress.promotion_took = now - self._step_since
--- a/src/tidegrade/core/_row.py
+++ b/src/tidegrade/core/_row.py
@@ -46,7 +46,9 @@
     and follow the configuration of ``config_version``.
     ``forks`` holds one entry for each past term, oldest first.
     ``log_term`` is the term in the endpoints' own data if that differs from
-    ``term``, and 0 if it is the same.
+    ``term``, and 0 if it is the same. The primary had received the log up to
+    ``start``, in the term of the last entry, when this term began; None if
+    this is not known.
     """
 
     term: int
@@ -56,6 +58,7 @@
     config_version: int = 0
     attempt: Attempt | None = None
     log_term: int = 0
+    start: _types.Position | None = None
 
     @property
     def marker(self) -> int:
--- a/src/tidegrade/core/_state.py
+++ b/src/tidegrade/core/_state.py
@@ -256,15 +256,17 @@
         self.former = _view.FormerPosition(position, row.marker, last.at)
 
     def primary_position(self) -> _types.Position | None:
-        """Return a position that the primary has reached in this term.
+        """Return a position that the primary must have reached.
 
-        It is None if none is known, or if endpoints don't check positions.
+        It is the newest one known of this term, or the one at which the term
+        began. It is None if neither is known, or if endpoints don't check
+        positions.
         """
-        newest = self.samples.newest
-        if self.row is None or newest is None:
-            return None
-        if not self.settings.traits.checks_position:
+        if self.row is None or not self.settings.traits.checks_position:
             return None
+        newest = self.samples.newest
+        if newest is None:
+            return self.row.start
         return _types.Position(self.row.marker, newest.lsn)
 
     def has_current_term(self, name: str) -> bool:
--- a/src/tidegrade/core/_view.py
+++ b/src/tidegrade/core/_view.py
@@ -168,9 +168,15 @@
         )
 
     def add(self, at: float, lsn: int, own: bool = True) -> None:
-        """Add the primary's position from a poll that was sent at ``at``."""
+        """Add the primary's position from a poll that was sent at ``at``.
+
+        A position never counts as lower than one before it: a primary that
+        restarts shows lower ones until it has applied its log again.
+        """
         if self._samples and at <= self._samples[-1].at:
             return
+        if self._samples:
+            lsn = max(lsn, self._samples[-1].lsn)
         if len(self._samples) >= 2 and self._samples[-2].lsn == lsn:
             self._samples.pop()
         self._samples.append(Sample(at, lsn, own))
--- a/tests/edge/test_edge_stale_reads.py
+++ b/tests/edge/test_edge_stale_reads.py
@@ -9,6 +9,7 @@
 import signal
 
 import anyio
+import attrs
 import pytest
 import tidegrade_edge as edge
 
@@ -80,24 +81,66 @@
         site.restart_proxy(number)
 
 
+def ordering_proxy(site) -> list[int]:
+    """Return the number of the proxy that ordered the promotion."""
+    _, holder, _ = site.promotions[0]
+    return [
+        number
+        for number, proxy in enumerate(site.proxies)
+        if proxy.name == holder.partition('.')[0]
+    ]
+
+
+def all_proxies(site) -> list[int]:
+    """Return the numbers of all proxies."""
+    return list(range(len(site.proxies)))
+
+
+@pytest.mark.parametrize('restarted', [ordering_proxy, all_proxies])
 async def test_proxies_that_restart_in_a_promotion_serve_no_old_copy(
-    run_site, tmp_path
+    run_site, tmp_path, restarted
 ):
     """Restarted proxies acknowledged writes at a superseded primary.
 
     The primary crashes, and its promise is not among those of the majority.
-    All proxies are killed as soon as they have ordered a promotion, and the
-    primary comes back before it takes effect. Then the row still names that
-    primary, and nobody publishes the new term until the attempt is taken
-    over 3.1 s later. Nothing is cut off.
+    Proxies are killed as soon as the promotion is ordered, and the primary
+    comes back before it takes effect. The row still names that primary, and
+    nobody publishes the new term until the attempt is taken over 3.1 s
+    later. Nothing is cut off.
     """
     async with run_site(tmp_path, SETTINGS) as site, calling(site) as history:
         former = site.primary
         former.crash()
         await wait_for_order(site)
-        await restart_proxies(site, range(len(site.proxies)))
         site.restart_instance(former)
+        await restart_proxies(site, restarted(site))
         # The attempt is taken over, which begins another term.
         await wait_for_term(site, 3)
         await anyio.sleep(2.5)
     assert history.stale_reads() == []
+
+
+#: Delay with which lagging replicas apply, in seconds: 150 times the usual.
+APPLY_LAG_S = 3.0
+
+
+async def test_a_promoted_instance_that_applies_late_serves_no_old_copy(
+    run_site, tmp_path
+):
+    """Reads at a new primary lacked what it had received but not applied.
+
+    They name no position. The users' pages say that commits are applied
+    later and that a promoted instance leads with what it had received; that
+    it may serve before it has applied that is an assumption of this test.
+    """
+    cfg = attrs.evolve(
+        SETTINGS, traits=attrs.evolve(TRAITS, applies_late=True)
+    )
+    async with run_site(tmp_path, cfg) as site, calling(site) as history:
+        for instance in site.instances:
+            instance.faults.apply_lag = APPLY_LAG_S
+        await anyio.sleep(APPLY_LAG_S)
+        site.primary.state = 'draining'
+        await wait_for_term(site, 2)
+        await anyio.sleep(APPLY_LAG_S)
+    assert history.stale_reads() == []
