Strike a setup statement of the stand-in behind a named position too

What was seen: tests/edge/test_edge_setup_faults.py ran until its limits, since its fault of a BEGIN struck none: transactions at the primary name a position now, and the stand-in looked at the first word of the text. It is the harness, not the product. Ruled out: naming no position in a BEGIN.

--- a/standins/tidegrade_edge/_instance.py
+++ b/standins/tidegrade_edge/_instance.py
@@ -322,7 +322,8 @@
             if request_id != '-':
                 await anyio.sleep(self.faults.work)
             fault = self.faults.setup
-            if fault and request_id == '-' and text.startswith(fault.verb):
+            own = request_id == '-'
+            if fault and own and _statement(text).startswith(fault.verb):
                 if not await self._strike(fault, session, text, lines):
                     return
                 continue
@@ -527,6 +528,11 @@
         return self._row()
 
 
+def _statement(text: str) -> str:
+    """Give a statement without the position that may precede it."""
+    return text.split(' ', 2)[2] if text.startswith('AFTER ') else text
+
+
 class _Lines:
     """Lines over a stream."""
 
